--- /dev/null
+++ b/src/state/view.cpp
@@ -0,0 +1,126 @@
+/** @file view.cpp Reads and changes the tables by record. */
+#include "state/view_func.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace bilberry {
+
+namespace {
+
+/** Calls @p use with the table of @p kind. */
+template <class V, class Use> auto withTable(V &view, RecordKind kind, Use use)
+{
+    switch (kind) {
+    case RecordKind::Account:
+        return use(view.accounts);
+    case RecordKind::Key:
+        return use(view.keys);
+    case RecordKind::Model:
+        return use(view.models);
+    case RecordKind::Route:
+        return use(view.routes);
+    case RecordKind::Target:
+        return use(view.targets);
+    case RecordKind::Zone:
+        return use(view.zones);
+    case RecordKind::Replica:
+        return use(view.replicas);
+    case RecordKind::Quarantine:
+        break;
+    }
+    return use(view.quarantines);
+}
+
+std::string idText(const std::string &id)
+{
+    return id;
+}
+
+template <class Tag> std::string idText(const StrongType<Tag, std::string> &id)
+{
+    return id.value;
+}
+
+} // namespace
+
+std::string replicaId(const TargetId &target, const Variant &variant)
+{
+    return absl::StrCat(target.value, "/", variant.model.value, ":", variant.adapter.value);
+}
+
+Result<void> applyRecord(View &view, const Record &record)
+{
+    return withTable(view, record.key.kind, [&](auto &table) -> Result<void> {
+        using Table = std::decay_t<decltype(table)>;
+        const typename Table::key_type id{record.key.id};
+        if (record.body.is_null()) {
+            table.erase(id);
+            return boost::outcome_v2::success();
+        }
+        try {
+            table[id] = record.body.get<typename Table::mapped_type>();
+        } catch (const nlohmann::json::exception &) {
+            return Errc::Malformed;
+        }
+        return boost::outcome_v2::success();
+    });
+}
+
+Record readRecord(const View &view, const RecordKey &key)
+{
+    return withTable(view, key.kind, [&](const auto &table) {
+        using Table = std::decay_t<decltype(table)>;
+        const auto it = table.find(typename Table::key_type{key.id});
+        return Record{key, it == table.end() ? nlohmann::json() : nlohmann::json(it->second)};
+    });
+}
+
+std::vector<RecordKey> allRecords(const View &view)
+{
+    std::vector<RecordKey> keys;
+    for (int kind = 0; kind <= static_cast<int>(RecordKind::Quarantine); ++kind) {
+        withTable(view, static_cast<RecordKind>(kind), [&](const auto &table) {
+            for (const auto &[id, entry] : table)
+                keys.push_back({static_cast<RecordKind>(kind), idText(id)});
+        });
+    }
+    return keys;
+}
+
+bool mayCallVariant(const Account &account, const Variant &variant)
+{
+    const std::string full = absl::StrCat(variant.model.value, ":", variant.adapter.value);
+    return std::any_of(account.models.begin(), account.models.end(), [&](const std::string &name) {
+        return name == "*" || name == variant.model.value || name == full;
+    });
+}
+
+bool mayCallRoute(const Account &account, const RouteId &route)
+{
+    return std::any_of(account.routes.begin(), account.routes.end(),
+                       [&](const std::string &name) { return name == "*" || name == route.value; });
+}
+
+const Account *accountOfKey(const View &view, const KeyId &id, const Digest &secret)
+{
+    const auto key = view.keys.find(id);
+    if (key == view.keys.end())
+        return nullptr;
+    const Digest digest = digestOf({key->second.salt, secret.value});
+    if (!equalConstantTime(digest.value, key->second.digest.value))
+        return nullptr;
+    const auto account = view.accounts.find(key->second.account);
+    return account == view.accounts.end() ? nullptr : &account->second;
+}
+
+bool acceptsWork(const View &view, const TargetId &target, const ZoneId &zone)
+{
+    const auto zonePolicy = view.zones.find(zone);
+    if (zonePolicy != view.zones.end() && zonePolicy->second.out)
+        return false;
+    const auto policy = view.targets.find(target);
+    return policy == view.targets.end() || !policy->second.leaving;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/target/registry.cpp
@@ -0,0 +1,56 @@
+/** @file registry.cpp Rules of the target registry. */
+#include "target/registry_func.h"
+
+namespace bilberry {
+
+AnnounceOutcome announce(TargetRegistry &registry, const TargetAnnouncement &announcement,
+                         TimePoint now)
+{
+    const auto it = registry.targets.find(announcement.id);
+    const bool known = it != registry.targets.end();
+    if (known && announcement.start < it->second.announcement.start)
+        return AnnounceOutcome::Stale;
+    const bool restarted = !known || announcement.start > it->second.announcement.start;
+    TargetEntry &entry = registry.targets[announcement.id];
+    entry.heard = now;
+    if (!restarted && entry.announcement == announcement)
+        return AnnounceOutcome::Unchanged;
+    entry.announcement = announcement;
+    entry.modified = Version(++registry.version.value);
+    registry.removed.erase(announcement.id);
+    return restarted ? AnnounceOutcome::Restarted : AnnounceOutcome::Changed;
+}
+
+std::vector<TargetId> dropSilent(TargetRegistry &registry, TimePoint now)
+{
+    std::vector<TargetId> dropped;
+    for (auto it = registry.targets.begin(); it != registry.targets.end();) {
+        if (now - it->second.heard < TARGET_SILENCE) {
+            ++it;
+            continue;
+        }
+        dropped.push_back(it->first);
+        registry.removed[it->first] = Version(++registry.version.value);
+        it = registry.targets.erase(it);
+    }
+    return dropped;
+}
+
+RegistryDelta deltaSince(const TargetRegistry &registry, std::uint64_t epoch, Version known)
+{
+    RegistryDelta delta;
+    delta.epoch = registry.epoch;
+    delta.version = registry.version;
+    delta.full = epoch != registry.epoch;
+    for (const auto &[id, entry] : registry.targets) {
+        if (delta.full || entry.modified > known)
+            delta.changed.push_back(entry.announcement);
+    }
+    for (const auto &[id, version] : registry.removed) {
+        if (!delta.full && version > known)
+            delta.removed.push_back(id);
+    }
+    return delta;
+}
+
+} // namespace bilberry
