--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -286,6 +286,9 @@
             setRole(replica, ReplicaRole::Follower, effects);
             resetElectionTimer(replica, now);
         }
+        // Whoever was promised a vote gets the time to ask for it.
+        if (granted)
+            replica.electionDue = std::max(replica.electionDue, now + ELECTION_TIMEOUT_MIN / 3);
         return;
     }
     if (request.term > replica.hard.term)
--- a/src/tests/replica_test.cpp
+++ b/src/tests/replica_test.cpp
@@ -1,4 +1,5 @@
-/** @file replica_test.cpp The replicated log under lost, late, doubled and crossed messages and crashes. */
+/** @file replica_test.cpp The replicated log under lost, late, doubled and crossed messages and
+ * crashes. */
 #include "consensus/replica_func.h"
 
 #include <algorithm>
@@ -162,8 +163,8 @@
         const bool writes = effects.hardState || effects.snapshot || !effects.append.empty()
             || !effects.sendSynced.empty();
         if (writes)
-            member.writes.push_back({std::move(effects),
-                                     this->now + Duration(200 + this->random() % 3'000)});
+            member.writes.push_back(
+                {std::move(effects), this->now + Duration(200 + this->random() % 3'000)});
     }
 
     void finishWrites(Member &member)
@@ -176,8 +177,8 @@
                 this->send(member.id, message);
             if (!write.effects.append.empty()) {
                 const LogEntry &last = write.effects.append.back();
-                this->take(member, synced(*member.replica, last.index, last.term,
-                                          this->clockOf(member)));
+                this->take(member,
+                           synced(*member.replica, last.index, last.term, this->clockOf(member)));
             }
         }
     }
@@ -198,8 +199,9 @@
             const bool reaches = to != this->members.end() && to->second.replica && !to->second.cut
                 && (from == this->members.end() || !from->second.cut);
             if (reaches)
-                this->take(to->second, receive(*to->second.replica, flight.from, flight.message,
-                                               this->clockOf(to->second)));
+                this->take(to->second,
+                           receive(*to->second.replica, flight.from, flight.message,
+                                   this->clockOf(to->second)));
         }
     }
 
@@ -252,8 +254,9 @@
     {
         for (auto &[id, member] : this->members) {
             if (member.replica && member.replica->log.size() > 20 && this->chance(20))
-                this->take(member, compact(*member.replica, member.replica->applied,
-                                           encode(member.applied)));
+                this->take(
+                    member,
+                    compact(*member.replica, member.replica->applied, encode(member.applied)));
         }
     }
 
@@ -303,7 +306,8 @@
             if (leader == nullptr)
                 continue;
             const LogReplica &replica = *leader->replica;
-            if (replica.membership.voters == next.voters && replica.membership.outgoingVoters.empty()
+            if (replica.membership.voters == next.voters
+                && replica.membership.outgoingVoters.empty()
                 && replica.membership.learners == next.learners
                 && replica.commit >= replica.membershipIndex)
                 return true;
