--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 test: build
 	@$(BUILD)/unit_tests --jobs 4 --timeout 300
+	@python3 src/tests/system/run.py --build $(BUILD) --suite ci
 
 faults: build
 	@python3 src/tests/system/run.py --build $(BUILD) --suite all
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -90,6 +90,7 @@
     std::map<LogIndex, PendingCommand> pending;
     std::map<CallId, std::vector<std::pair<HolderId, RequestId>>> joined; ///< Waiting for outcomes.
     std::map<Digest, CrashRecord> crashes;
+    std::uint64_t suspectsVersion = 1; ///< Of the keys of @c crashes.
     Planner planner;
     bool placementPending = false;
     TimePoint placementDue;
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -15,8 +15,7 @@
 
 namespace {
 
-constexpr std::size_t CRASHES_IF_ALONE = 2; ///< Lost targets that convict a request that ran apart.
-constexpr std::size_t CRASHES_IN_COMPANY = 4; ///< Lost targets that convict in any case.
+constexpr std::size_t LOSSES_TO_QUARANTINE = 2; ///< Targets lost with no other suspect on them.
 constexpr Duration JUDGEMENT_DELAY
     = 300ms; ///< Reports of other hosts about the same loss come later.
 constexpr Duration CRASH_MEMORY = 10min;
@@ -77,6 +76,7 @@
         out.requestWait = timeUntil(pools.requests, 1);
         out.tokenWait = timeUntil(pools.tokens,
                                   static_cast<double>(std::max<std::int64_t>(use.tokens.want, 1)));
+        out.settling = pools.requests.unknown > 0 || pools.tokens.unknown > 0;
         grant.accounts.push_back(out);
     }
 }
@@ -117,8 +117,12 @@
                 own[item.account] += item.demand;
         }
     }
+    double ownTotal = 0;
+    for (const auto &[account, demand] : own)
+        ownTotal += demand;
+    // Slots kept idle go back as soon as they are all that is left.
     if (total <= slots.pool.bound)
-        return -1;
+        return slots.pool.level >= 1 ? -1 : static_cast<int>(ownTotal);
     std::vector<Claim> list;
     for (const auto &[account, claim] : claims)
         list.push_back(claim);
@@ -177,28 +181,32 @@
 void noteSuspicions(Leadership &leadership, const HostReport &report, TimePoint now)
 {
     for (const Digest &cleared : report.cleared)
-        leadership.crashes.erase(cleared);
+        leadership.suspectsVersion += leadership.crashes.erase(cleared);
     for (const CrashSuspicion &suspicion : report.suspicions) {
         if (leadership.crashes.size() >= MAX_CRASH_RECORDS)
             return;
-        CrashRecord &record = leadership.crashes[suspicion.request];
+        const auto [it, added] = leadership.crashes.try_emplace(suspicion.request);
+        leadership.suspectsVersion += added ? 1 : 0;
+        CrashRecord &record = it->second;
         bool &alone = record.targets[{suspicion.target, suspicion.start}];
         alone = alone || suspicion.alone;
         record.last = now;
     }
 }
 
-/** @return Whether the digest alone explains the loss of one of its targets. */
-bool isAloneSomewhere(const Leadership &leadership, const CrashRecord &record)
+/** @return How many lost targets the digest alone explains: no other suspect ran there. */
+std::size_t lossesAlone(const Leadership &leadership, const CrashRecord &record)
 {
-    return std::any_of(record.targets.begin(), record.targets.end(), [&](const auto &item) {
-        const auto suspects = std::count_if(
-            leadership.crashes.begin(), leadership.crashes.end(), [&](const auto &other) {
-                const auto same = other.second.targets.find(item.first);
-                return same != other.second.targets.end() && same->second;
-            });
-        return item.second && suspects == 1;
-    });
+    const auto count
+        = std::count_if(record.targets.begin(), record.targets.end(), [&](const auto &item) {
+              const auto suspects = std::count_if(
+                  leadership.crashes.begin(), leadership.crashes.end(), [&](const auto &other) {
+                      const auto same = other.second.targets.find(item.first);
+                      return same != other.second.targets.end() && same->second;
+                  });
+              return item.second && suspects == 1;
+          });
+    return static_cast<std::size_t>(count);
 }
 
 /** Removes from an announcement what hosts must not use: variants being unloaded. */
@@ -268,6 +276,12 @@
         for (TargetAnnouncement &announcement : grant.registry->changed)
             announcement = withoutUnloading(control, std::move(announcement));
     }
+    grant.suspectsVersion = leadership.suspectsVersion;
+    if (report.term != leadership.term || report.suspectsVersion != leadership.suspectsVersion) {
+        grant.suspects.emplace();
+        for (const auto &[request, record] : leadership.crashes)
+            grant.suspects->push_back(request);
+    }
     grant.membershipIndex = control.replica.membershipIndex;
     if (report.membershipIndex != control.replica.membershipIndex) {
         for (const auto &[member, address] : control.replica.membership.addresses)
@@ -307,19 +321,18 @@
 void judgeSuspects(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
-    std::erase_if(leadership.crashes,
-                  [&](const auto &item) { return now - item.second.last > CRASH_MEMORY; });
+    leadership.suspectsVersion += std::erase_if(leadership.crashes, [&](const auto &item) {
+        return now - item.second.last > CRASH_MEMORY;
+    });
     std::vector<Digest> convicted;
     for (const auto &[request, record] : leadership.crashes) {
         if (now - record.last < JUDGEMENT_DELAY)
             continue;
-        const bool apart
-            = record.targets.size() >= CRASHES_IF_ALONE && isAloneSomewhere(leadership, record);
-        if (apart || record.targets.size() >= CRASHES_IN_COMPANY)
+        if (lossesAlone(leadership, record) >= LOSSES_TO_QUARANTINE)
             convicted.push_back(request);
     }
     for (const Digest &request : convicted) {
-        leadership.crashes.erase(request);
+        leadership.suspectsVersion += leadership.crashes.erase(request);
         const Quarantine quarantine{request, clusterTime(control, now) + QUARANTINE_LENGTH};
         (void)proposeCommand(control, SetQuarantine{quarantine}, {}, effects, now);
     }
--- a/src/core/bounded_ring.h
+++ b/src/core/bounded_ring.h
@@ -26,7 +26,7 @@
     }
 
     /** @param callback Called after each push that finds the ring empty; set before any use. */
-    void setWakeup(std::function<void()> callback) { this->wakeup = std::move(callback); }
+    void setWakeup(const std::function<void()> &callback) { this->wakeup = callback; }
 
     /** @return False if the ring is full or closed; @p element is then left as it was. */
     bool tryPush(T &&element)
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -93,6 +93,10 @@
     if (auto *member = std::get_if<MemberFrame>(&frame)) {
         if (member->to != this->memberId)
             return true;
+        {
+            absl::MutexLock lock(&this->linksMutex);
+            this->heardFrom[member->from] = member->fromAddress;
+        }
         return this->post(ReplicaMessageEvent{member->from, std::move(member->message)});
     }
     if (auto *message = std::get_if<HostMessage>(&frame))
@@ -167,16 +171,26 @@
 void ControlDuty::sendToMember(const OutgoingMessage &message)
 {
     absl::MutexLock lock(&this->linksMutex);
-    const auto address = this->addresses.find(message.to);
-    if (address == this->addresses.end())
+    const std::string address = this->addressOf(message.to);
+    if (address.empty())
         return;
-    std::unique_ptr<PeerClient> &link = this->links[address->second];
+    std::unique_ptr<PeerClient> &link = this->links[address];
     if (!link) {
         link = std::make_unique<PeerClient>(
-            address->second, [](PeerFrame &&) {}, [](bool) {});
+            address, [](PeerFrame &&) {}, [](bool) {});
         link->maintain(MonotonicClock::now());
     }
-    link->send(MemberFrame{this->memberId, message.to, message.message});
+    link->send(
+        MemberFrame{this->memberId, this->settings.peers.text(), message.to, message.message});
+}
+
+std::string ControlDuty::addressOf(const MemberId &member)
+{
+    const auto known = this->addresses.find(member);
+    if (known != this->addresses.end())
+        return known->second;
+    const auto heard = this->heardFrom.find(member);
+    return heard == this->heardFrom.end() ? "" : heard->second;
 }
 
 void ControlDuty::runJournal()
@@ -186,6 +200,7 @@
         if (pending.empty())
             continue;
         std::vector<JournalBatch> batches;
+        batches.reserve(pending.size());
         for (JournalWrite &write : pending)
             batches.push_back({write.hardState, write.append, write.snapshot});
         // Nothing is acknowledged before it is on the disk, however long that takes.
--- a/src/daemon/control_duty_base.h
+++ b/src/daemon/control_duty_base.h
@@ -59,6 +59,7 @@
     void runJournal();
     void execute(ControlEffects effects);
     void sendToMember(const OutgoingMessage &message);
+    std::string addressOf(const MemberId &member) ABSL_EXCLUSIVE_LOCKS_REQUIRED(linksMutex);
     void noteRole();
 
     Settings settings;
@@ -72,6 +73,7 @@
     absl::Mutex linksMutex; ///< The journal thread sends as well.
     std::map<std::string, std::unique_ptr<PeerClient>> links; ///< To members, by address.
     std::map<MemberId, std::string> addresses; ///< Of the present membership.
+    std::map<MemberId, std::string> heardFrom; ///< Addresses that members named themselves.
     std::atomic<bool> leading{false};
     std::atomic<bool> journalOk{true};
     std::thread decisionThread;
--- a/src/daemon/host_duty.cpp
+++ b/src/daemon/host_duty.cpp
@@ -188,8 +188,12 @@
         this->handle(TickEvent{});
         this->link->maintain(now);
         const bool isNowReady = isReady(this->host, now);
+        // Until keys and targets are known, a balancer's connections are better refused.
+        if (isNowReady && this->callers && !this->callers->open())
+            logChange("callersPortFailed", {{"address", this->settings.callers.text()}});
         if (isNowReady != this->readyNow.exchange(isNowReady))
             logChange(isNowReady ? "ready" : "notReady", {{"table", this->host.table}});
+        this->followShutdown(now);
         this->drainedNow = isDrained(this->host, now) && this->exchanges->size() == 0;
         if (now >= probeDue && this->callers) {
             probeDue = now + PROBE_INTERVAL;
@@ -198,6 +202,16 @@
     }
 }
 
+void HostDuty::followShutdown(TimePoint now)
+{
+    if (!this->host.leaving || !this->callers)
+        return;
+    this->callers->closeAfterAnswers();
+    // The balancer has had its time to notice; whoever still connects is sent elsewhere by that.
+    if (now >= this->host.leavingSince + this->host.settings.drain)
+        this->callers->stopAccepting();
+}
+
 void HostDuty::handle(const HostEvent &event)
 {
     const TimePoint now = MonotonicClock::now();
--- a/src/daemon/host_duty_base.h
+++ b/src/daemon/host_duty_base.h
@@ -63,6 +63,8 @@
     explicit HostDuty(const Settings &settings);
 
     void runDecisions();
+    /** Closes the callers' port step by step during a graceful shutdown. */
+    void followShutdown(TimePoint now);
     void handle(const HostEvent &event);
     void execute(HostEffect &effect);
     void connectTo(std::string address, const std::vector<std::string> &known);
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::int64_t DEFAULT_MAX_TOKENS = 512; ///< When the caller names no limit.
 constexpr std::int64_t SERVICE_CALL_WORK = 50; ///< Work of a plain call, in tokens.
+constexpr Duration LEAVING_GRACE
+    = 5s; ///< After the drain, callers on open connections are still served.
 constexpr Duration BUDGET_PATIENCE = 400ms; ///< Wait for budgets that other hosts may hand back.
 
 /** Outcome of the checks: a request ready to be stored, or a refusal. */
@@ -117,7 +119,7 @@
     Check check;
     check.request.asked = asked;
     check.request.arrived = now;
-    if (host.leaving && now >= host.leavingSince + host.settings.drain)
+    if (host.leaving && now >= host.leavingSince + host.settings.drain + LEAVING_GRACE)
         check.refusal = RefusalCode::ShuttingDown;
     else if (!isFresh(host, now))
         check.refusal = RefusalCode::Unreachable;
@@ -154,7 +156,10 @@
     while (!held.waiting.empty()) {
         const RequestId id = held.waiting.front();
         const Request &request = host.requests.at(id);
-        if (now < request.arrived + BUDGET_PATIENCE)
+        // Only the leader's word makes it a refusal: budgets that are not known yet are waited for.
+        const bool patient = !held.shortSince
+            || now < std::max(request.arrived, *held.shortSince) + BUDGET_PATIENCE;
+        if (patient)
             return;
         const bool requestsShort = held.requests.balance() < 1;
         refuse(host, id, requestsShort ? RefusalCode::RateLimited : RefusalCode::TokenRateLimited,
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -84,11 +84,12 @@
     std::deque<RequestId> waiting; ///< For budgets, in order.
     Duration requestWait{}; ///< Until the pool has a request, as the leader said last.
     Duration tokenWait{};
+    std::optional<TimePoint> shortSince; ///< Since when the leader has not satisfied the reports.
     TimePoint lastUse;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HeldAccount, requests, tokens, requestDemand,
                                                 tokenDemand, usedRequests, usedTokens, waiting,
-                                                requestWait, tokenWait, lastUse)
+                                                requestWait, tokenWait, shortSince, lastUse)
 
 /** One target as this host knows it. */
 struct KnownTarget
@@ -180,7 +181,8 @@
     RetryBudget retries;
     std::map<std::uint64_t, std::set<TargetId>> prefixes; ///< Cache hints, bounded.
     std::deque<std::uint64_t> prefixOrder;
-    std::set<Digest> suspects; ///< Requests that ran on targets that were lost.
+    std::set<Digest> suspects; ///< Requests that ran on targets that were lost, at any host.
+    std::uint64_t suspectsVersion = 0; ///< Of the leader's list.
 
     std::map<TargetId, LocalTarget> local;
     std::map<RequestId, CallReport> callReports; ///< Until acknowledged.
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -3,6 +3,7 @@
 
 #include "queue/fair_queue_func.h"
 #include "state/cluster_func.h"
+#include "state/view_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,6 +19,7 @@
 constexpr Duration ACCOUNT_MEMORY = 60s; ///< An account unused for so long is no longer reported.
 constexpr double DEMAND_SMOOTHING = 0.3;
 constexpr double PREFETCH_INTERVALS = 2; ///< Budgets kept ahead, in report intervals of demand.
+constexpr Duration GROUP_MEMORY = 10s; ///< A group dispatched within this is in use.
 constexpr double PEAK_DECAY = 0.8; ///< Per report.
 
 void noteDemand(double &demand, std::int64_t &used)
@@ -97,6 +99,40 @@
     return longest;
 }
 
+/** @return Whether a group that the target serves was in use lately. */
+bool servesUsedGroup(const Host &host, const KnownTarget &target, TimePoint now)
+{
+    const auto used = [&](const WorkGroup &group) {
+        const auto statistics = host.groups.find(group);
+        return statistics != host.groups.end()
+            && now - statistics->second.lastDispatch < GROUP_MEMORY;
+    };
+    const TargetAnnouncement &announcement = target.announcement;
+    if (announcement.kind == TargetKind::Service)
+        return used({{}, announcement.service});
+    return std::any_of(announcement.loaded.begin(), announcement.loaded.end(),
+                       [&](const LoadedVariant &loaded) {
+                           return used({loaded.variant, ""});
+                       });
+}
+
+/** Slots to hold without a request that waits: by recent use, and more where all are taken. */
+std::int64_t slotsAhead(const Host &host, const KnownTarget &target, TimePoint now)
+{
+    const auto running = static_cast<std::int64_t>(target.running.size());
+    if (host.leaving)
+        return running;
+    const bool near = target.announcement.zone == host.settings.zone;
+    const bool open = !target.announcement.leaving && now >= target.health.ejectedUntil
+        && acceptsWork(host.view, target.announcement.id, target.announcement.zone);
+    if (!open || !servesUsedGroup(host, target, now))
+        return static_cast<std::int64_t>(std::round(target.peak));
+    const std::int64_t held = std::max<std::int64_t>(target.slots.balance(), 0);
+    const std::int64_t growth = near && running >= held ? std::max<std::int64_t>(held / 2, 1) : 0;
+    return std::max(
+        {static_cast<std::int64_t>(std::ceil(target.peak)), running + growth, std::int64_t{1}});
+}
+
 void reportTarget(Host &host, KnownTarget &target, std::map<AccountId, int> demand,
                   HostReport &report, bool periodic, TimePoint now)
 {
@@ -109,10 +145,10 @@
     if (periodic)
         target.peak = std::max(static_cast<double>(running), target.peak * PEAK_DECAY);
     const std::int64_t held = target.slots.balance();
-    if (running == 0 && waiting == 0 && held <= 0 && target.peak < 0.5)
+    const bool unused = running == 0 && waiting == 0 && held <= 0;
+    if (unused && slotsAhead(host, target, now) == 0)
         return;
-    const auto ahead = host.leaving ? running : static_cast<std::int64_t>(std::round(target.peak));
-    std::int64_t wanted = std::max<std::int64_t>(running + waiting, ahead);
+    std::int64_t wanted = std::max(running + waiting, slotsAhead(host, target, now));
     if (target.share >= 0)
         wanted = std::min<std::int64_t>(wanted, target.share);
     const std::int64_t surplus = std::min(held - std::max(wanted, running), target.freeSlots());
@@ -121,7 +157,8 @@
     SlotUse use;
     use.target = target.announcement.id;
     use.start = target.announcement.start;
-    use.slots = useOf(target.slots, std::max<std::int64_t>(running + waiting - held, 0));
+    use.slots = useOf(target.slots,
+                      std::max<std::int64_t>(std::max(wanted, running + waiting) - held, 0));
     use.succeeded = target.succeeded;
     use.overloaded = target.overloaded;
     use.limit = target.limit;
@@ -194,6 +231,7 @@
     report.registryEpoch = host.registryEpoch;
     report.registry = host.registry;
     report.membershipIndex = host.membershipIndex;
+    report.suspectsVersion = host.suspectsVersion;
     report.leaving = host.leaving;
     reportAccounts(host, report, periodic, now);
     auto spread = spreadWaiting(host, now);
@@ -291,6 +329,12 @@
         renew(held.tokens, item.tokens, expires);
         held.requestWait = item.requestWait;
         held.tokenWait = item.tokenWait;
+        const auto [requests, tokens] = waitingNeed(host, held);
+        const bool isShort = held.requests.balance() < requests || held.tokens.balance() < tokens;
+        if (!isShort || item.settling)
+            held.shortSince.reset();
+        else if (!held.shortSince)
+            held.shortSince = now;
     }
     for (const SlotGrant &item : grant.slots) {
         const auto target = host.targets.find(item.target);
@@ -325,6 +369,9 @@
         if (local != host.local.end())
             local->second.changed = true;
     }
+    host.suspectsVersion = grant.suspectsVersion;
+    if (grant.suspects)
+        host.suspects = {grant.suspects->begin(), grant.suspects->end()};
     host.clock = grant.clock;
     host.clockAt = now;
     host.freshUntil = std::max(host.freshUntil, grant.sentAt + FRESHNESS_LEASE);
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -10,7 +10,7 @@
 
 namespace bilberry {
 
-constexpr Duration BUDGET_LEASE = 2s; ///< Of rates and slots, from when the host sent its report.
+constexpr Duration BUDGET_LEASE = 1s; ///< Of rates and slots, from when the host sent its report.
 constexpr Duration FRESHNESS_LEASE
     = 2s; ///< Of keys, zones and targets, from when the host sent its report.
 
@@ -91,6 +91,7 @@
     std::uint64_t registryEpoch = 0;
     Version registry; ///< Registry version in force on the host.
     std::uint64_t membershipIndex = 0; ///< Of the control hosts that it knows.
+    std::uint64_t suspectsVersion = 0; ///< Of the suspects that it knows.
     bool leaving = false; ///< Shutting down: everything is handed back.
     std::vector<AccountUse> accounts;
     std::vector<SlotUse> slots;
@@ -103,8 +104,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostReport, holder, zone, sequence, sentAt, term,
                                                 table, registryEpoch, registry, membershipIndex,
-                                                leaving, accounts, slots, variants, targets, alive,
-                                                suspicions, cleared)
+                                                suspectsVersion, leaving, accounts, slots, variants,
+                                                targets, alive, suspicions, cleared)
 
 /** Asks to record a call before its dispatch, or to learn its outcome. */
 struct CallQuestion
@@ -166,9 +167,10 @@
     std::int64_t tokens = 0; ///< Total of this term.
     Duration requestWait{}; ///< Until the next request is in the pool; 0 if there is one.
     Duration tokenWait{};
+    bool settling = false; ///< The leader does not know yet what is out under an earlier one.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountGrant, account, requests, tokens,
-                                                requestWait, tokenWait)
+                                                requestWait, tokenWait, settling)
 
 /** Slots granted at one target. */
 struct SlotGrant
@@ -194,11 +196,13 @@
     std::uint64_t membershipIndex = 0;
     std::vector<std::string> controlHosts; ///< Addresses, if the host's are out of date.
     Duration clock{}; ///< Cluster time.
+    std::uint64_t suspectsVersion = 0;
+    std::optional<std::vector<Digest>> suspects; ///< Requests that ran on lost targets, if news.
     std::vector<TargetId> unknownTargets; ///< Reported alive, but to be announced in full.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostGrant, sequence, sentAt, term, table, registry,
                                                 accounts, slots, membershipIndex, controlHosts,
-                                                clock, unknownTargets)
+                                                clock, suspectsVersion, suspects, unknownTargets)
 
 /** Verdict on a call, or its outcome for a joined request. */
 struct CallAnswer
--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -102,8 +102,7 @@
     {
         if (this->next >= this->schedule.size())
             return 10;
-        const Duration left
-            = this->start + this->schedule[this->next].at - MonotonicClock::now();
+        const Duration left = this->start + this->schedule[this->next].at - MonotonicClock::now();
         return static_cast<int>(std::clamp<std::int64_t>(left.count() / 1'000, 0, 10));
     }
 
@@ -144,8 +143,8 @@
     {
         const ScheduledRequest &request = sending.request;
         sending.easy = curl_easy_init();
-        sending.url = absl::StrCat("http://", this->run.hosts[sending.host % this->run.hosts.size()],
-                                   request.path);
+        sending.url = absl::StrCat(
+            "http://", this->run.hosts[sending.host % this->run.hosts.size()], request.path);
         const auto key = this->run.keys.find(request.account);
         const auto add = [&](const std::string &line) {
             sending.headers = curl_slist_append(sending.headers, line.c_str());
@@ -201,8 +200,8 @@
             outcome.type = code == CURLE_COULDNT_CONNECT ? "no_connection" : "broken";
         else if (status != 200)
             outcome.type = this->typeOf(sending->body);
-        const bool unconnected = code == CURLE_COULDNT_CONNECT
-            && sending->host < this->next + this->run.hosts.size();
+        const bool unconnected
+            = code == CURLE_COULDNT_CONNECT && sending->host < this->next + this->run.hosts.size();
         if (unconnected) {
             // As a balancer would: nothing was sent, so another host gets it at once.
             this->begin(sending->request, sending->scheduled, sending->host + 1);
@@ -299,7 +298,8 @@
                 body["max_tokens"] = profile.tokens;
                 body["stream"] = profile.streamed;
             }
-            request.body = profile.model.empty() ? absl::StrCat("{\"call\":\"", id, "\"}") : body.dump();
+            request.body
+                = profile.model.empty() ? absl::StrCat("{\"call\":\"", id, "\"}") : body.dump();
             if (profile.idempotent) {
                 request.idempotencyKey = id;
                 request.resends = 6;
--- a/src/load/generator_func.h
+++ b/src/load/generator_func.h
@@ -32,7 +32,8 @@
 /** Where and how a schedule is sent. */
 struct LoadRun
 {
-    std::vector<std::string> hosts; ///< "ip:port"; taken in turn, the next one after a failed connect.
+    std::vector<std::string>
+        hosts; ///< "ip:port"; taken in turn, the next one after a failed connect.
     std::map<std::string, std::string> keys; ///< By account.
     int mostOpen = 2'000; ///< Requests in flight; more are counted as not sent.
 };
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -22,9 +22,9 @@
     if (plan.contains("schedule"))
         schedule = plan["schedule"].get<std::vector<ScheduledRequest>>();
     else
-        schedule = makeSchedule(plan.at("profiles").get<std::vector<LoadProfile>>(),
-                                fromSeconds(plan.at("seconds").get<double>()),
-                                plan.value("seed", 1U));
+        schedule
+            = makeSchedule(plan.at("profiles").get<std::vector<LoadProfile>>(),
+                           fromSeconds(plan.at("seconds").get<double>()), plan.value("seed", 1U));
     const std::vector<RequestOutcome> outcomes = sendSchedule(schedule, load);
     if (!outcomesFile.empty()) {
         std::ofstream out(outcomesFile);
--- a/src/net/caller_parse.cpp
+++ b/src/net/caller_parse.cpp
@@ -22,7 +22,7 @@
         return "";
     const std::string presented = authorization.substr(scheme.size());
     const std::size_t dot = presented.find('.');
-    const std::string secret = dot == std::string::npos ? presented : presented.substr(dot + 1);
+    std::string secret = dot == std::string::npos ? presented : presented.substr(dot + 1);
     event.key = PresentedKey{KeyId(presented.substr(0, dot)), digestOf({secret})};
     return secret;
 }
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -158,6 +158,8 @@
             MHD_add_response_header(response, "Content-Type", exchange.contentType.c_str());
         for (const auto &[name, value] : exchange.headers)
             MHD_add_response_header(response, name.c_str(), value.c_str());
+        if (this->closing.load())
+            MHD_add_response_header(response, "Connection", "close");
         const MHD_Result queued
             = MHD_queue_response(connection, static_cast<unsigned>(exchange.status), response);
         MHD_destroy_response(response);
@@ -233,8 +235,11 @@
     std::shared_ptr<ExchangeTable> exchanges;
     OnEvent onEvent;
     MHD_Daemon *daemon = nullptr;
+    int socket = -1;
+    bool quiet = false; ///< No longer accepts.
     int port = 0;
     std::atomic<std::uint64_t> lastRequest{0};
+    std::atomic<bool> closing{false};
     absl::Mutex waitingMutex;
     std::map<RequestId, int>
         waiting ABSL_GUARDED_BY(waitingMutex); ///< Sockets of suspended requests.
@@ -258,18 +263,27 @@
     impl->maxBodyBytes = settings.maxBodyBytes;
     impl->exchanges = std::move(exchanges);
     impl->onEvent = std::move(onEvent);
-    BOOST_OUTCOME_TRY(socket, listenOn(settings.callers));
+    BOOST_OUTCOME_TRY(socket, bindTo(settings.callers));
     impl->port = boundPort(socket);
-    impl->daemon = MHD_start_daemon(
+    impl->socket = socket;
+    return std::unique_ptr<CallerServer>(new CallerServer(std::move(impl)));
+}
+
+Result<void> CallerServer::open()
+{
+    if (this->impl->daemon != nullptr)
+        return boost::outcome_v2::success();
+    BOOST_OUTCOME_TRYV(startListening(this->impl->socket));
+    this->impl->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr, nullptr,
-        &Impl::access, impl.get(), MHD_OPTION_LISTEN_SOCKET, socket, MHD_OPTION_CONNECTION_LIMIT,
-        MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
+        &Impl::access, this->impl.get(), MHD_OPTION_LISTEN_SOCKET, this->impl->socket,
+        MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_SECONDS,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES, MHD_OPTION_URI_LOG_CALLBACK,
         &Impl::onUri, nullptr, MHD_OPTION_NOTIFY_COMPLETED, &Impl::completed, nullptr,
         MHD_OPTION_END);
-    if (impl->daemon == nullptr)
+    if (this->impl->daemon == nullptr)
         return Errc::AddressInUse;
-    return std::unique_ptr<CallerServer>(new CallerServer(std::move(impl)));
+    return boost::outcome_v2::success();
 }
 
 void CallerServer::probeWaiting()
@@ -306,8 +320,16 @@
     return this->impl->port;
 }
 
+void CallerServer::closeAfterAnswers()
+{
+    this->impl->closing = true;
+}
+
 void CallerServer::stopAccepting()
 {
+    if (this->impl->quiet || this->impl->daemon == nullptr)
+        return;
+    this->impl->quiet = true;
     const MHD_socket socket = MHD_quiesce_daemon(this->impl->daemon);
     if (socket != MHD_INVALID_SOCKET)
         ::close(socket);
--- a/src/net/caller_server_base.h
+++ b/src/net/caller_server_base.h
@@ -17,19 +17,25 @@
     /** Called for each event of a caller. @return False if there is no room; it is then refused. */
     using OnEvent = std::function<bool(HostEvent &&)>;
 
-    /** @return The server, or Errc::AddressInUse. */
+    /** @return The server, bound but refusing connections until open(), or Errc::AddressInUse. */
     static Result<std::unique_ptr<CallerServer>>
     start(const Settings &settings, std::shared_ptr<ExchangeTable> exchanges, OnEvent onEvent);
 
     ~CallerServer();
 
+    /** Starts accepting connections. @return Errc::AddressInUse. */
+    Result<void> open();
+
     /** Finds callers that closed their connection while they waited; called regularly. */
     void probeWaiting();
 
     /** @return Bound port. */
     int port() const;
 
-    /** Accepts no further connections. */
+    /** From now on each answer asks its caller to open a new connection next time. */
+    void closeAfterAnswers();
+
+    /** Accepts no further connections; those that are open are served on. */
     void stopAccepting();
 
     /** Ends the server; callers that still wait are cut off. */
--- a/src/net/listen.cpp
+++ b/src/net/listen.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-Result<int> listenOn(const Endpoint &endpoint)
+Result<int> bindTo(const Endpoint &endpoint)
 {
     sockaddr_in v4{};
     sockaddr_in6 v6{};
@@ -34,15 +34,32 @@
     }
     const int fd = ::socket(address->sa_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const int on = 1;
-    const bool listens = fd >= 0 && ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
-        && ::bind(fd, address, length) == 0 && ::listen(fd, BACKLOG) == 0;
-    if (listens)
+    const bool bound = fd >= 0 && ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+        && ::bind(fd, address, length) == 0;
+    if (bound)
         return fd;
     if (fd >= 0)
         ::close(fd);
     return Errc::AddressInUse;
 }
 
+Result<void> startListening(int socket)
+{
+    if (::listen(socket, BACKLOG) != 0)
+        return Errc::AddressInUse;
+    return boost::outcome_v2::success();
+}
+
+Result<int> listenOn(const Endpoint &endpoint)
+{
+    BOOST_OUTCOME_TRY(socket, bindTo(endpoint));
+    const Result<void> listening = startListening(socket);
+    if (listening)
+        return socket;
+    ::close(socket);
+    return listening.error();
+}
+
 int boundPort(int socket)
 {
     sockaddr_storage address{};
--- a/src/net/peer_frame_type.h
+++ b/src/net/peer_frame_type.h
@@ -12,10 +12,11 @@
 struct MemberFrame
 {
     MemberId from;
+    std::string fromAddress; ///< Where answers go: a new member knows no addresses yet.
     MemberId to; ///< A member that has replaced another at its address ignores the other's mail.
     ReplicaMessage message;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MemberFrame, from, to, message)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MemberFrame, from, fromAddress, to, message)
 
 using PeerFrame = std::variant<MemberFrame, HostMessage, ControlMessage>;
 
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -207,12 +207,12 @@
         curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent);
         OrderReply reply = OrderReply::Unknown;
+        const bool refused = code == CURLE_OK && status >= 400 && status < 500;
+        const bool unsent = code != CURLE_OK && sent == 0;
         if (code == CURLE_OK && status >= 200 && status < 300)
             reply = OrderReply::Accepted;
-        else if (code == CURLE_OK && status >= 400 && status < 500)
+        else if (refused || unsent)
             reply = OrderReply::Refused;
-        else if (code != CURLE_OK && sent == 0)
-            reply = OrderReply::Refused; // Nothing reached the target.
         this->onOrderReply({transfer.order.replica, transfer.order.order.fencing, reply});
         curl_multi_remove_handle(this->multi, transfer.easy);
         curl_easy_cleanup(transfer.easy);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -243,8 +243,8 @@
     const auto history = pass.planner.history.find(variant);
     if (history == pass.planner.history.end())
         return;
-    need.deadline = std::min(need.deadline,
-                             history->second.earliestDeadline.value_or(TimePoint::max()));
+    need.deadline
+        = std::min(need.deadline, history->second.earliestDeadline.value_or(TimePoint::max()));
     for (const auto &[account, waiting] : history->second.accounts) {
         need.accounts.insert(account);
         const auto known = pass.planner.loadsByAccount.find(account);
