Fix: [Queue] A flood at every host took the others' turns; Add: shared limits over a made-up clock

Ruled out: the leader's shares (the shares were right in the dumps). Now work is charged at dispatch, and the estimate counts only what the fair order would pick first. Second cause: a target ran up to 10 of 8 slots, since a cancelled attempt gave its slot back before it had ended. It now keeps it until then.

--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::int64_t DEFAULT_MAX_TOKENS = 512; ///< When the caller names no limit.
-constexpr std::int64_t SERVICE_CALL_WORK = 50; ///< Work of a plain call, in tokens.
 constexpr Duration LEAVING_GRACE
     = 5s; ///< After the drain, callers on open connections are still served.
 constexpr Duration BUDGET_PATIENCE = 400ms; ///< Wait for budgets that other hosts may hand back.
@@ -230,9 +229,6 @@
     request.queuedAt = now;
     enqueue(host.queue, {request.asked.request, request.account, request.group, request.workClass},
             request.attempts > 0);
-    charge(host.queue, request.workClass, request.account,
-           static_cast<double>(request.estimate > 0 ? request.estimate : SERVICE_CALL_WORK),
-           weightOf(host, request.account));
 }
 
 void onCallerGone(Host &host, RequestId id, HostEffects &effects, TimePoint now)
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -23,7 +23,7 @@
 {
     GroupStatistics &statistics = host.groups[request.group];
     statistics.serviceSeconds
-        = smooth(statistics.serviceSeconds, toSeconds(now - request.queuedAt));
+        = smooth(statistics.serviceSeconds, toSeconds(now - request.dispatchedAt));
     if (ended.tokens > 0)
         statistics.tokens = smooth(statistics.tokens, static_cast<double>(ended.tokens));
 }
@@ -137,13 +137,7 @@
 {
     ++host.counters.retries;
     request.suspected = request.suspected || host.suspects.contains(request.asked.body);
-    // The work was charged when it was queued first.
-    const std::int64_t estimate = request.estimate;
     proceed(host, request, effects, now);
-    const auto it = host.requests.find(request.asked.request);
-    if (it != host.requests.end())
-        charge(host.queue, it->second.workClass, it->second.account, -static_cast<double>(estimate),
-               weightOf(host, it->second.account));
 }
 
 void complete(Host &host, Request &request, const AttemptEnded &ended, HostEffects &effects,
@@ -164,8 +158,17 @@
 {
     ++host.counters.attempts[nlohmann::json(ended.result).get<std::string>()];
     const auto attempt = host.attempts.find(ended.attempt);
-    if (attempt == host.attempts.end())
-        return; // Given up earlier; whatever it brought is discarded.
+    if (attempt == host.attempts.end()) {
+        // Given up earlier; whatever it brought is discarded, but its slot is free only now.
+        const auto cancelled = host.cancelling.find(ended.attempt);
+        if (cancelled == host.cancelling.end())
+            return;
+        const auto target = host.targets.find(cancelled->second);
+        if (target != host.targets.end())
+            target->second.cancelling.erase(ended.attempt);
+        host.cancelling.erase(cancelled);
+        return;
+    }
     const RequestId id = attempt->second;
     host.attempts.erase(attempt);
     Request &request = host.requests.at(id);
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -139,6 +139,12 @@
             return false;
         }
     }
+    // What cannot end in time any more would only take a slot from what can.
+    const GroupStatistics &statistics = host.groups[request.group];
+    if (now + fromSeconds(statistics.serviceSeconds) > request.deadline - ANSWER_MARGIN) {
+        refuse(host, id, RefusalCode::Overloaded, effects, now, 1s);
+        return false;
+    }
     return true;
 }
 
@@ -148,6 +154,10 @@
     KnownTarget &target = host.targets.at(targetId);
     const RequestId id = request.asked.request;
     request.state = RequestState::Running;
+    request.dispatchedAt = now;
+    charge(host.queue, request.workClass, request.account,
+           static_cast<double>(request.estimate > 0 ? request.estimate : SERVICE_CALL_WORK),
+           weightOf(host, request.account));
     request.attempt = AttemptId(++host.lastAttempt);
     request.target = targetId;
     request.targetStart = target.announcement.start;
@@ -199,11 +209,12 @@
     const auto statistics = host.groups.find(request.group);
     if (statistics == host.groups.end() || statistics->second.gapSeconds <= 0)
         return std::nullopt;
-    const std::size_t ahead = waitingIn(host.queue, request.group);
-    if (ahead == 0)
+    const double ahead = waitingAhead(
+        host.queue, {request.asked.request, request.account, request.group, request.workClass},
+        [&](const AccountId &account) { return weightOf(host, account); });
+    if (ahead < 1)
         return std::nullopt;
-    return fromSeconds(static_cast<double>(ahead) * statistics->second.gapSeconds
-                       + statistics->second.serviceSeconds);
+    return fromSeconds(ahead * statistics->second.gapSeconds + statistics->second.serviceSeconds);
 }
 
 void dispatchAll(Host &host, HostEffects &effects, TimePoint now)
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -55,6 +55,7 @@
     TimePoint arrived;
     TimePoint deadline;
     TimePoint queuedAt;
+    TimePoint dispatchedAt;
     AttemptId attempt; ///< Present one.
     AttemptId correlation; ///< Of the attempt whose stream the caller reads.
     TargetId target;
@@ -68,9 +69,10 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Request, asked, account, group, workClass,
                                                 repeatable, recorded, recordOwned, state, estimate,
-                                                charged, arrived, deadline, queuedAt, attempt,
-                                                correlation, target, targetStart, attempts, tried,
-                                                maySent, callerGone, eventsRelayed, suspected)
+                                                charged, arrived, deadline, queuedAt, dispatchedAt,
+                                                attempt, correlation, target, targetStart, attempts,
+                                                tried, maySent, callerGone, eventsRelayed,
+                                                suspected)
 
 /** Budgets of one account at this host. */
 struct HeldAccount
@@ -97,6 +99,7 @@
     TargetAnnouncement announcement;
     HeldPool slots;
     std::set<RequestId> running;
+    std::set<AttemptId> cancelling; ///< Given up, but not yet known to have ended.
     double peak = 0; ///< Decaying most of running requests.
     int limit = 0;
     int share = -1; ///< -1: no limit.
@@ -108,12 +111,13 @@
     /** @return Slots that may be taken now. */
     std::int64_t freeSlots() const
     {
-        return this->slots.balance() - static_cast<std::int64_t>(this->running.size());
+        return this->slots.balance()
+            - static_cast<std::int64_t>(this->running.size() + this->cancelling.size());
     }
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(KnownTarget, announcement, slots, running, peak,
-                                                limit, share, succeeded, overloaded, health,
-                                                lastUse)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(KnownTarget, announcement, slots, running,
+                                                cancelling, peak, limit, share, succeeded,
+                                                overloaded, health, lastUse)
 
 /** A target that announces itself at this host. */
 struct LocalTarget
@@ -174,6 +178,7 @@
     std::map<RequestId, Request> requests;
     std::set<std::pair<TimePoint, RequestId>> deadlines;
     std::map<AttemptId, RequestId> attempts;
+    std::map<AttemptId, TargetId> cancelling; ///< Attempts given up, until they end.
     std::uint64_t lastAttempt = 0;
     FairQueue queue;
     std::map<AccountId, HeldAccount> accounts;
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -5,6 +5,7 @@
 
 namespace bilberry {
 
+constexpr std::int64_t SERVICE_CALL_WORK = 50; ///< Work of a plain call, in tokens.
 constexpr Duration ANSWER_MARGIN = 10ms; ///< A refusal leaves this long before the deadline.
 
 // Admission.
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -141,7 +141,8 @@
         waiting += count;
     for (const RequestId id : target.running)
         ++demand[host.requests.at(id).account];
-    const auto running = static_cast<std::int64_t>(target.running.size());
+    const auto running
+        = static_cast<std::int64_t>(target.running.size() + target.cancelling.size());
     if (periodic)
         target.peak = std::max(static_cast<double>(running), target.peak * PEAK_DECAY);
     const std::int64_t held = target.slots.balance();
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -34,8 +34,9 @@
     }
     held.tokens.spent += tokensUsed - request.estimate;
     held.usedTokens += tokensUsed - request.estimate;
-    charge(host.queue, request.workClass, request.account,
-           static_cast<double>(tokensUsed - request.estimate), weightOf(host, request.account));
+    if (request.attempts > 0)
+        charge(host.queue, request.workClass, request.account,
+               static_cast<double>(tokensUsed - request.estimate), weightOf(host, request.account));
 }
 
 void onDeadline(Host &host, RequestId id, HostEffects &effects, TimePoint now)
@@ -44,6 +45,11 @@
     if (request.state == RequestState::Running) {
         effects.push_back(CancelAttempt{request.attempt});
         request.maySent = true;
+        const auto target = host.targets.find(request.target);
+        if (target != host.targets.end()) {
+            target->second.cancelling.insert(request.attempt);
+            host.cancelling[request.attempt] = request.target;
+        }
     }
     // The cause tells callers whether another time limit would have helped.
     const bool cold = request.state == RequestState::Queued && !isServed(host, request.group, now);
--- a/src/queue/fair_queue.cpp
+++ b/src/queue/fair_queue.cpp
@@ -105,6 +105,30 @@
     flow.virtualTime += work / std::max(weight, 0.01);
 }
 
+double waitingAhead(const FairQueue &queue, const QueueEntry &entry,
+                    const std::function<double(const AccountId &)> &weightOf)
+{
+    const bool isBulk = entry.workClass == WorkClass::Bulk;
+    const auto waitingOf = [&](const Flow &flow) {
+        const auto waiting = flow.waiting.find(entry.group);
+        return waiting == flow.waiting.end() ? 0.0 : static_cast<double>(waiting->second.size());
+    };
+    const FlowClass &flows = isBulk ? queue.bulk : queue.interactive;
+    const auto own = flows.flows.find(entry.account);
+    const double ownWaiting = own == flows.flows.end() ? 0 : waitingOf(own->second);
+    const double turns = (ownWaiting + 1) / weightOf(entry.account);
+    double ahead = ownWaiting;
+    for (const auto &[account, flow] : flows.flows) {
+        if (account != entry.account)
+            ahead += std::min(waitingOf(flow), turns * weightOf(account));
+    }
+    if (isBulk) {
+        for (const auto &[account, flow] : queue.interactive.flows)
+            ahead += waitingOf(flow);
+    }
+    return ahead;
+}
+
 std::size_t waitingIn(const FairQueue &queue, const WorkGroup &group)
 {
     const auto it = queue.groupCounts.find(group);
--- a/src/queue/fair_queue_func.h
+++ b/src/queue/fair_queue_func.h
@@ -35,6 +35,13 @@
 void charge(FairQueue &queue, WorkClass workClass, const AccountId &account, double work,
             double weight);
 
+/**
+ * @param weightOf Weight of an account.
+ * @return Requests of the group that would be picked before a new one of the account.
+ */
+double waitingAhead(const FairQueue &queue, const QueueEntry &entry,
+                    const std::function<double(const AccountId &)> &weightOf);
+
 /** @return Waiting requests of the group. */
 std::size_t waitingIn(const FairQueue &queue, const WorkGroup &group);
 
--- /dev/null
+++ b/src/replay/decision_loop.cpp
@@ -0,0 +1,272 @@
+/** @file decision_loop.cpp Drives the decision code with a made-up clock. */
+#include "replay/decision_loop_base.h"
+
+#include "state/cluster_func.h"
+
+namespace bilberry {
+
+namespace {
+
+constexpr Duration TICK = 5ms;
+constexpr Duration ANNOUNCE_INTERVAL = 1s;
+constexpr const char *LOOP_SECRET = "loop-secret";
+
+void writeTo(DurableState &disk, const JournalWrite &write)
+{
+    if (write.snapshot) {
+        disk.base = *write.snapshot;
+        disk.log.clear();
+    }
+    if (write.hardState)
+        disk.hard = *write.hardState;
+    for (const LogEntry &entry : write.append) {
+        while (!disk.log.empty() && disk.log.back().index >= entry.index)
+            disk.log.pop_back();
+        disk.log.push_back(entry);
+    }
+}
+
+} // namespace
+
+PresentedKey DecisionLoop::keyOf(const AccountId &account)
+{
+    return {KeyId("k-" + account.value), digestOf({LOOP_SECRET})};
+}
+
+DecisionLoop::DecisionLoop(int hosts, const FolderConfig &folder, unsigned seed)
+    : seed(seed)
+{
+    const MemberId member("solo");
+    Cluster cluster;
+    apply(cluster, {Duration::zero(), ApplyConfig{"folder", Version(0), folder}});
+    for (const auto &[id, account] : folder.accounts) {
+        const PresentedKey key = keyOf(id);
+        apply(cluster,
+              {Duration::zero(),
+               GrantKey{"grant-" + id.value,
+                        {key.id, id, "salt", digestOf({"salt", key.secret.value})}}});
+    }
+    this->disk.base.membership.voters = {member};
+    this->disk.base.membership.addresses[member] = "127.0.0.1:1";
+    this->disk.base.state = encode(cluster);
+    this->startControl();
+    for (int i = 0; i < hosts; ++i) {
+        this->hosts.emplace_back();
+        this->hostLife.push_back(0);
+        this->restartHost(i);
+    }
+    this->tickAll();
+    this->announceAll();
+}
+
+void DecisionLoop::startControl()
+{
+    this->control = makeControl(MemberId("solo"), this->disk, this->seed, this->time).value();
+    this->controlDown = false;
+}
+
+void DecisionLoop::schedule(TimePoint at, std::function<void()> action)
+{
+    this->items.push({at, ++this->order, std::move(action)});
+}
+
+void DecisionLoop::runUntil(TimePoint end)
+{
+    while (!this->items.empty() && this->items.top().at <= end) {
+        const Item item = this->items.top();
+        this->items.pop();
+        this->time = std::max(this->time, item.at);
+        item.action();
+        ++this->events;
+        if (this->afterEvent)
+            this->afterEvent();
+    }
+    this->time = end;
+}
+
+void DecisionLoop::tickAll()
+{
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        if (!this->hosts[i].down)
+            this->stepHost(static_cast<int>(i), TickEvent{});
+    }
+    if (!this->controlDown)
+        this->stepControl(ControlTickEvent{});
+    this->schedule(this->time + TICK, [this]() { this->tickAll(); });
+}
+
+void DecisionLoop::announceAll()
+{
+    std::size_t next = 0;
+    for (auto &[id, target] : this->targets) {
+        const std::size_t host = next++ % this->hosts.size();
+        if (!target.down && !this->hosts[host].down)
+            this->stepHost(static_cast<int>(host), TargetAnnounced{target.announcement});
+    }
+    this->schedule(this->time + ANNOUNCE_INTERVAL, [this]() { this->announceAll(); });
+}
+
+void DecisionLoop::addTarget(LoopTarget target)
+{
+    const TargetId id = target.announcement.id;
+    this->targets[id] = std::move(target);
+}
+
+RequestId DecisionLoop::send(int host, CallerRequest request, TimePoint at)
+{
+    request.request = RequestId(++this->lastRequest);
+    const RequestId id = request.request;
+    this->schedule(at, [this, host, request = std::move(request)]() {
+        if (!this->hosts[static_cast<std::size_t>(host)].down)
+            this->stepHost(host, request);
+    });
+    return id;
+}
+
+void DecisionLoop::command(int host, OperatorBody body)
+{
+    this->stepHost(host, OperatorRequest{++this->lastOperator, false, std::move(body)});
+}
+
+void DecisionLoop::restartHost(int host)
+{
+    LoopHost &slot = this->hosts[static_cast<std::size_t>(host)];
+    ++this->hostLife[static_cast<std::size_t>(host)];
+    HostSettings settings;
+    settings.holder = {HostId("h" + std::to_string(host)), ++this->lastRun};
+    settings.zone = ZoneId("z" + std::to_string(host % 3));
+    slot.host = makeHost(settings, this->time);
+    slot.down = false;
+    this->schedule(this->time, [this, host]() {
+        if (!this->hosts[static_cast<std::size_t>(host)].down)
+            this->stepHost(host, ControlLinkEvent{true});
+    });
+}
+
+void DecisionLoop::restartControl(Duration downFor)
+{
+    ++this->controlLife;
+    this->controlDown = true;
+    this->schedule(this->time + downFor, [this]() { this->startControl(); });
+}
+
+void DecisionLoop::stepHost(int host, const HostEvent &event)
+{
+    Host &state = this->hosts[static_cast<std::size_t>(host)].host;
+    for (const HostEffect &effect : step(state, event, this->time))
+        this->execute(host, effect);
+}
+
+void DecisionLoop::execute(int host, const HostEffect &effect)
+{
+    if (this->dropEffect && this->dropEffect(effect))
+        return;
+    if (const auto *refusal = std::get_if<RefuseCaller>(&effect)) {
+        this->answers[{host, refusal->request}]
+            = {refusal->request, this->time, false, false, *refusal};
+    } else if (const auto *replayed = std::get_if<ReplayAnswer>(&effect)) {
+        this->answers[{host, replayed->request}] = {replayed->request, this->time, true, true, {}};
+    } else if (const auto *attempt = std::get_if<StartAttempt>(&effect)) {
+        this->startAttempt(host, *attempt);
+    } else if (const auto *cancel = std::get_if<CancelAttempt>(&effect)) {
+        AttemptEnded ended;
+        ended.attempt = cancel->attempt;
+        ended.result = AttemptResult::Cancelled;
+        const auto running = this->attempts.find({host, cancel->attempt});
+        if (running != this->attempts.end()) {
+            --this->targets.at(running->second).running;
+            this->attempts.erase(running);
+        }
+        this->schedule(this->time, [this, host, ended]() { this->stepHost(host, ended); });
+    } else if (const auto *message = std::get_if<SendControl>(&effect)) {
+        ++this->messages;
+        const std::uint64_t life = this->controlLife;
+        this->schedule(this->time + this->linkDelay, [this, host, life, m = message->message]() {
+            const bool reaches = !this->hosts[static_cast<std::size_t>(host)].cut
+                && !this->controlDown && life == this->controlLife;
+            if (reaches)
+                this->stepControl(HostMessageEvent{m});
+        });
+    } else if (std::holds_alternative<SwitchControl>(effect)) {
+        // There is one control member; switching means a new stream to it.
+        this->schedule(this->time + 5ms, [this, host]() {
+            if (!this->hosts[static_cast<std::size_t>(host)].down)
+                this->stepHost(host, ControlLinkEvent{true});
+        });
+    }
+}
+
+void DecisionLoop::startAttempt(int host, const StartAttempt &attempt)
+{
+    const std::uint64_t life = this->hostLife[static_cast<std::size_t>(host)];
+    LoopTarget &target = this->targets.at(attempt.target);
+    const StartNumber start = target.announcement.start;
+    ++target.running;
+    this->attempts[{host, attempt.attempt}] = attempt.target;
+    target.mostRunning = std::max(target.mostRunning, target.running);
+    AttemptEnded ended;
+    ended.attempt = attempt.attempt;
+    ended.result = target.down ? AttemptResult::NotSent : AttemptResult::Answered;
+    ended.status = 200;
+    if (!target.down && target.answer)
+        ended = target.answer(attempt);
+    if (ended.result == AttemptResult::Answered && attempt.keepAnswer)
+        ended.answer = StoredAnswer{200, "text/plain", "done", false};
+    const TimePoint at = this->time + (target.down ? 1ms : target.serviceTime);
+    this->schedule(at, [this, host, life, ended, start, id = attempt.target]() {
+        if (this->attempts.erase({host, ended.attempt}) == 0)
+            return; // Cancelled.
+        LoopTarget &after = this->targets.at(id);
+        if (after.announcement.start == start)
+            --after.running;
+        if (life != this->hostLife[static_cast<std::size_t>(host)])
+            return;
+        const auto request
+            = this->hosts[static_cast<std::size_t>(host)].host.attempts.find(ended.attempt);
+        const bool counts
+            = request != this->hosts[static_cast<std::size_t>(host)].host.attempts.end();
+        if (counts && ended.result == AttemptResult::Answered)
+            this->answers[{host, request->second}] = {request->second, this->time, true, false, {}};
+        this->stepHost(host, ended);
+    });
+}
+
+void DecisionLoop::stepControl(const ControlEvent &event)
+{
+    this->take(step(this->control, event, this->time));
+}
+
+void DecisionLoop::take(ControlEffects effects)
+{
+    const std::uint64_t life = this->controlLife;
+    for (const JournalWrite &write : effects.journal) {
+        this->schedule(this->time + this->syncDelay, [this, write, life]() {
+            if (life != this->controlLife)
+                return; // Lost with the member: it was not synced yet.
+            writeTo(this->disk, write);
+            if (!write.append.empty())
+                this->stepControl(SyncedEvent{write.append.back().index, write.append.back().term});
+        });
+    }
+    for (const ToHost &item : effects.toHosts) {
+        ++this->messages;
+        this->schedule(this->time + this->linkDelay, [this, item, life]() {
+            for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+                const LoopHost &host = this->hosts[i];
+                const bool reaches = host.host.settings.holder == item.holder && !host.cut
+                    && !host.down && life == this->controlLife;
+                if (reaches)
+                    this->stepHost(static_cast<int>(i), ControlMessageEvent{item.message});
+            }
+        });
+    }
+    for (const SendOrder &order : effects.orders) {
+        this->schedule(this->time + 1ms, [this, order, life]() {
+            if (life == this->controlLife)
+                this->stepControl(
+                    OrderReplyEvent{order.replica, order.order.fencing, OrderReply::Accepted});
+        });
+    }
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/tests/shared_limits_test.cpp
@@ -0,0 +1,234 @@
+/** @file shared_limits_test.cpp What must hold over all hosts together, against naive references. */
+#include "replay/decision_loop_base.h"
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+Account makeAccount(const std::string &name, double rate, double burst, double weight = 1)
+{
+    Account account;
+    account.id = AccountId(name);
+    account.requestsPerSecond = rate;
+    account.requestBurst = burst;
+    account.weight = weight;
+    return account;
+}
+
+FolderConfig serviceFolder(const std::vector<Account> &accounts)
+{
+    FolderConfig folder;
+    for (const Account &account : accounts)
+        folder.accounts[account.id] = account;
+    Route route;
+    route.id = RouteId("s");
+    route.path = "/s";
+    route.service = "s";
+    route.repeatable = true;
+    folder.routes[route.id] = route;
+    return folder;
+}
+
+LoopTarget makeService(const std::string &id, const std::string &zone, int concurrent,
+                       Duration serviceTime)
+{
+    LoopTarget target;
+    target.announcement.id = TargetId(id);
+    target.announcement.kind = TargetKind::Service;
+    target.announcement.service = "s";
+    target.announcement.zone = ZoneId(zone);
+    target.announcement.start = StartNumber(1);
+    target.announcement.maxConcurrent = concurrent;
+    target.serviceTime = serviceTime;
+    return target;
+}
+
+CallerRequest callOf(const std::string &account)
+{
+    CallerRequest request;
+    request.key = DecisionLoop::keyOf(AccountId(account));
+    request.path = "/s";
+    request.body = digestOf({account});
+    request.timeLimit = 2s;
+    return request;
+}
+
+/** The naive reference: one bucket in one place. */
+struct CentralBucket
+{
+    double rate;
+    double level;
+    double bound;
+    TimePoint last;
+
+    bool take(TimePoint now)
+    {
+        this->level = std::min(this->bound, this->level + this->rate * toSeconds(now - this->last));
+        this->last = now;
+        if (this->level < 1)
+            return false;
+        this->level -= 1;
+        return true;
+    }
+};
+
+/** How load moves over the hosts. */
+enum class Pattern {
+    Skewed, ///< Nine in ten at one host.
+    Bursty, ///< Idle seconds, then all at once.
+    Moving, ///< Another host each second.
+};
+
+} // namespace
+
+Test(shared_rate, few_wrongful_refusals_and_never_more_than_the_bucket)
+{
+    constexpr double RATE = 100;
+    constexpr double BURST = 100;
+    constexpr int SECONDS = 20;
+    for (const Pattern pattern : {Pattern::Skewed, Pattern::Bursty, Pattern::Moving}) {
+        for (unsigned seed = 1; seed <= 3; ++seed) {
+            DecisionLoop loop(8, serviceFolder({makeAccount("a", RATE, BURST)}), seed);
+            for (int i = 0; i < 3; ++i)
+                loop.addTarget(makeService("t" + std::to_string(i), "z" + std::to_string(i), 64, 2ms));
+            loop.runUntil(TimePoint(6s));
+            std::mt19937 random(seed);
+            CentralBucket bucket{RATE, BURST, BURST, loop.now()};
+            std::vector<std::pair<int, RequestId>> sent;
+            int centralServed = 0;
+            const double perSecond = RATE * 1.2;
+            std::exponential_distribution<double> gap(perSecond);
+            const TimePoint begin = loop.now();
+            for (double at = 0; at < SECONDS; at += gap(random)) {
+                int host = static_cast<int>(random() % 8);
+                double when = at;
+                if (pattern == Pattern::Skewed && random() % 10 > 0)
+                    host = 0;
+                if (pattern == Pattern::Moving)
+                    host = static_cast<int>(at) % 8;
+                if (pattern == Pattern::Bursty)
+                    when = static_cast<int>(at / 2) * 2.0 + (at - static_cast<int>(at / 2) * 2.0) / 4;
+                const TimePoint due = begin + fromSeconds(when);
+                centralServed += bucket.take(due) ? 1 : 0;
+                sent.emplace_back(host, loop.send(host, callOf("a"), due));
+            }
+            loop.runUntil(begin + fromSeconds(SECONDS + 4));
+            int served = 0;
+            for (const auto &key : sent) {
+                cr_assert(loop.answers.contains(key), "dropped");
+                served += loop.answers.at(key).answered ? 1 : 0;
+            }
+            cr_assert_leq(served, BURST + RATE * (SECONDS + 2.5), "pattern %d over the rate",
+                          static_cast<int>(pattern));
+            const double refused = static_cast<double>(sent.size()) - served;
+            const double centralRefused = static_cast<double>(sent.size()) - centralServed;
+            cr_assert_leq(refused, 1.05 * centralRefused + 1, "pattern %d seed %u: %f, central %f",
+                          static_cast<int>(pattern), seed, refused, centralRefused);
+        }
+    }
+}
+
+Test(shared_slots, a_target_never_gets_more_than_its_ramp_from_all_hosts_together)
+{
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        DecisionLoop loop(6, serviceFolder({makeAccount("a", 10'000, 10'000)}), seed);
+        loop.addTarget(makeService("t", "z0", 8, 20ms));
+        loop.runUntil(TimePoint(6s));
+        std::mt19937 random(seed);
+        for (int i = 0; i < 3'000; ++i)
+            loop.send(static_cast<int>(random() % 6), callOf("a"), loop.now() + Duration(i * 1'000));
+        loop.afterEvent = [&loop]() {
+            const LoopTarget &target = loop.targets.at(TargetId("t"));
+            cr_assert_leq(target.running, 8);
+            const auto &slots = loop.control.leadership->slots;
+            const auto known = slots.find(TargetId("t"));
+            if (known != slots.end())
+                cr_assert_leq(target.running, std::max(known->second.ramp.limit, RAMP_START) + 0);
+        };
+        loop.runUntil(loop.now() + 6s);
+        cr_assert_geq(loop.targets.at(TargetId("t")).mostRunning, 8, "the ramp reaches its end");
+    }
+}
+
+Test(fairness, a_flood_leaves_others_their_share_at_all_hosts)
+{
+    DecisionLoop loop(4,
+                      serviceFolder({makeAccount("flood", 10'000, 10'000),
+                                     makeAccount("small", 10'000, 10'000)}),
+                      1);
+    loop.addTarget(makeService("t", "z0", 8, 50ms));
+    loop.runUntil(TimePoint(6s));
+    std::vector<std::pair<int, RequestId>> small;
+    // The target bears 160 a second; the flood sends four times that over all hosts.
+    for (int i = 0; i < 640 * 6; ++i)
+        loop.send(i % 4, callOf("flood"), loop.now() + Duration(i * 1'562));
+    for (int i = 0; i < 40 * 6; ++i)
+        small.emplace_back(i % 4, loop.send(i % 4, callOf("small"), loop.now() + Duration(i * 25'000)));
+    loop.runUntil(loop.now() + 10s);
+    int served = 0;
+    for (const auto &key : small)
+        served += loop.answers.at(key).answered ? 1 : 0;
+    // Its demand is below its fair half, so all of it ought to be served.
+    cr_assert_geq(served, static_cast<int>(small.size() * 98 / 100), "%d of %zu", served,
+                  small.size());
+}
+
+Test(freshness, a_host_that_is_cut_off_refuses_within_its_lease)
+{
+    DecisionLoop loop(3, serviceFolder({makeAccount("a", 1'000, 1'000)}), 1);
+    loop.addTarget(makeService("t", "z0", 8, 5ms));
+    loop.runUntil(TimePoint(6s));
+    loop.hosts[1].cut = true;
+    const TimePoint cutAt = loop.now();
+    loop.command(0, WithdrawKey{"w", KeyId("k-a")});
+    std::vector<std::pair<TimePoint, std::pair<int, RequestId>>> sent;
+    for (int i = 0; i < 400; ++i) {
+        const TimePoint at = cutAt + Duration(i * 10'000);
+        sent.emplace_back(at, std::make_pair(1, loop.send(1, callOf("a"), at)));
+    }
+    loop.runUntil(cutAt + 8s);
+    for (const auto &[at, key] : sent) {
+        const LoopAnswer &answer = loop.answers.at(key);
+        if (at > cutAt + FRESHNESS_LEASE)
+            cr_assert(!answer.answered, "served %ld us after the cut", (at - cutAt).count());
+        if (!answer.answered)
+            cr_assert(answer.refusal.execution == Execution::NotRun);
+    }
+    // Back in reach, it knows that the key is gone.
+    loop.hosts[1].cut = false;
+    loop.runUntil(loop.now() + 2s);
+    const RequestId late = loop.send(1, callOf("a"), loop.now() + 1ms);
+    loop.runUntil(loop.now() + 1s);
+    cr_assert(loop.answers.at({1, late}).refusal.code == RefusalCode::KeyUnknown);
+}
+
+Test(zones, nothing_new_goes_to_a_zone_once_its_exit_is_in_force)
+{
+    DecisionLoop loop(4, serviceFolder({makeAccount("a", 10'000, 10'000)}), 1);
+    for (int i = 0; i < 3; ++i)
+        loop.addTarget(makeService("t" + std::to_string(i), "z" + std::to_string(i), 16, 10ms));
+    loop.runUntil(TimePoint(6s));
+    for (int i = 0; i < 4'000; ++i)
+        loop.send(i % 4, callOf("a"), loop.now() + Duration(i * 1'500));
+    loop.runUntil(loop.now() + 1s);
+    loop.command(2, SetZone{"out", {ZoneId("z1"), true}});
+    const TimePoint begin = loop.now();
+    while (inForce(loop.control, loop.now()) < loop.control.cluster.version
+           || loop.control.cluster.view.zones.empty())
+        loop.runUntil(loop.now() + 5ms);
+    cr_assert_leq((loop.now() - begin).count(), Duration(2s).count(), "in force within 2 s");
+    loop.targets.at(TargetId("t1")).answer = [](const StartAttempt &) -> AttemptEnded {
+        cr_assert_fail("new work for a zone that is out");
+        return {};
+    };
+    loop.runUntil(loop.now() + 2s);
+    loop.targets.at(TargetId("t1")).answer = nullptr;
+    loop.targets.at(TargetId("t1")).mostRunning = 0;
+    loop.command(0, SetZone{"in", {ZoneId("z1"), false}});
+    loop.runUntil(loop.now() + 2s);
+    cr_assert_gt(loop.targets.at(TargetId("t1")).mostRunning, 0, "the zone works again");
+}
