Add: [Bench] Placement replayed against two naive policies; Change: [Placement] tiers, victims, first replicas

Cause: the planner counted loads from local caches against the weight store, evicted by last use only, and took a burst of first requests for a need of several replicas.

--- /dev/null
+++ b/src/bench/main.cpp
@@ -0,0 +1,89 @@
+/** @file main.cpp Measures decisions against naive versions in one run: bilberrybench. */
+#include "bench/placement_replay_base.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace bilberry {
+
+namespace {
+
+double percentile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+nlohmann::json describe(const PlacementResult &result)
+{
+    return {{"coldP50s", percentile(result.coldSeconds, 0.5)},
+            {"coldP95s", percentile(result.coldSeconds, 0.95)},
+            {"coldP99s", percentile(result.coldSeconds, 0.99)},
+            {"coldRequests", result.coldSeconds.size()},
+            {"served", result.served},
+            {"refused", result.refused},
+            {"idleHours", result.idleHours},
+            {"loads", result.loads},
+            {"overcommits", result.overcommits},
+            {"worstPassMs", result.worstPassMs},
+            {"meanPassMs", result.meanPassMs}};
+}
+
+nlohmann::json measure(const TraceShape &shape, unsigned seed, bool naive)
+{
+    const PlacementTrace trace = makeTrace(shape, seed);
+    nlohmann::json out{{"seed", seed}, {"requests", trace.requests.size()}};
+    out["planner"] = describe(replayPlacement(trace, PlacementPolicy::Planner));
+    if (!naive)
+        return out;
+    out["leastRecentlyUsed"] = describe(replayPlacement(trace, PlacementPolicy::LeastRecentlyUsed));
+    out["keepAll"] = describe(replayPlacement(trace, PlacementPolicy::KeepAll));
+    return out;
+}
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    std::string what;
+    unsigned seeds = 3;
+    po::options_description options("bilberrybench");
+    options.add_options()("help", "this text")(
+        "what", po::value(&what)->default_value("placement"), "placement or placement-large")(
+        "seeds", po::value(&seeds), "number of seeds");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    if (values.count("help") > 0) {
+        std::cout << options;
+        return 0;
+    }
+    nlohmann::json out = nlohmann::json::array();
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        TraceShape shape;
+        if (what == "placement-large") {
+            shape.engines = 600;
+            shape.models = 220;
+            shape.adapters = 5'800;
+            shape.requestsPerSecond = 200;
+            shape.length = 2min;
+            shape.engineMemoryMb = 640'000;
+            out.push_back(measure(shape, seed, false));
+        } else {
+            out.push_back(measure(shape, seed, true));
+        }
+    }
+    std::cout << out.dump(2) << "\n";
+    return 0;
+}
+
+} // namespace
+
+} // namespace bilberry
+
+int main(int argc, char **argv)
+{
+    return bilberry::main(argc, argv);
+}
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -21,15 +21,18 @@
     Planner &planner;
     const PlacementView &input;
     TimePoint now;
-    std::map<std::string, Replica> replicas; ///< As they will be after the decision.
-    std::map<TargetId, std::int64_t> reservedMb;
-    std::map<Variant, int> counts; ///< Loading and ready replicas on targets that serve.
-    std::map<Variant, int> readyCounts;
-    std::map<TargetId, int> ordersAt;
-    int modelLoads = 0;
+    std::map<std::string, Replica> replicas{}; ///< As they will be after the decision.
+    std::map<TargetId, std::int64_t> reservedMb{};
+    std::map<TargetId, std::set<std::string>> byTarget{}; ///< Replica ids.
+    std::map<std::pair<ZoneId, Variant>, int> zoneCounts{};
+    std::map<TargetId, std::vector<std::string>> idleByTarget{}; ///< Memo of victims().
+    std::map<Variant, int> counts{}; ///< Loading and ready replicas on targets that serve.
+    std::map<Variant, int> readyCounts{};
+    std::map<TargetId, int> ordersAt{};
+    int storeLoads = 0; ///< Models under way from the weight store.
     int adapterLoads = 0;
-    FencingNumber nextFencing;
-    PlacementDecision decision;
+    FencingNumber nextFencing{};
+    PlacementDecision decision{};
 };
 
 const TargetAnnouncement *serving(const Pass &pass, const TargetId &target)
@@ -98,6 +101,7 @@
 {
     pass.decision.gone.push_back(id);
     pass.planner.orders.erase(id);
+    pass.planner.cachedLoads.erase(id);
     pass.replicas.erase(id);
 }
 
@@ -113,6 +117,7 @@
     case Finding::BecameReady:
         replica.state = ReplicaState::Ready;
         pass.planner.orders.erase(id);
+        pass.planner.cachedLoads.erase(id);
         pass.planner.failedUntil.erase(replica.variant);
         pass.decision.put.push_back(replica);
         return;
@@ -167,12 +172,17 @@
 {
     pass.reservedMb[replica.target] += replica.memoryMb;
     const bool loading = replica.state == ReplicaState::Loading;
-    if (loading)
-        ++(replica.variant.adapter.value.empty() ? pass.modelLoads : pass.adapterLoads);
+    pass.byTarget[replica.target].insert(replicaId(replica.target, replica.variant));
+    if (loading && !replica.variant.adapter.value.empty())
+        ++pass.adapterLoads;
+    else if (loading && !pass.planner.cachedLoads.contains(replicaId(replica.target, replica.variant)))
+        ++pass.storeLoads;
     if (replica.state != ReplicaState::Ready)
         ++pass.ordersAt[replica.target];
-    if (replica.state == ReplicaState::Unloading || serving(pass, replica.target) == nullptr)
+    const TargetAnnouncement *target = serving(pass, replica.target);
+    if (replica.state == ReplicaState::Unloading || target == nullptr)
         return;
+    ++pass.zoneCounts[{target->zone, replica.variant}];
     ++pass.counts[replica.variant];
     if (!loading)
         ++pass.readyCounts[replica.variant];
@@ -222,9 +232,23 @@
     }
     const int perReplica = pass.planner.tuning.requestsPerReplica;
     const int least = isBase ? model.minReplicas : 0;
+    // A burst of first requests says nothing yet about how many replicas it takes.
+    const auto ready = pass.readyCounts.find(variant);
+    if (ready == pass.readyCounts.end() || ready->second == 0)
+        return std::max(std::min(busy, 1), least);
     return std::clamp((busy + perReplica - 1) / perReplica, least, model.maxReplicas);
 }
 
+CacheTier tierOf(const TargetAnnouncement &target, const ModelId &model)
+{
+    CacheTier best = CacheTier::Remote;
+    for (const CachedModel &cached : target.cached) {
+        if (cached.model == model)
+            best = std::min(best, cached.tier);
+    }
+    return best;
+}
+
 /** A replica that ought to be loaded. */
 struct Need
 {
@@ -294,16 +318,6 @@
     return needs;
 }
 
-CacheTier tierOf(const TargetAnnouncement &target, const ModelId &model)
-{
-    CacheTier best = CacheTier::Remote;
-    for (const CachedModel &cached : target.cached) {
-        if (cached.model == model)
-            best = std::min(best, cached.tier);
-    }
-    return best;
-}
-
 std::int64_t freeMb(const Pass &pass, const TargetAnnouncement &target)
 {
     const auto reserved = pass.reservedMb.find(target.id);
@@ -323,38 +337,67 @@
     return orders == pass.ordersAt.end() || orders->second < most;
 }
 
-/** Idle replicas on @p target that may go, longest idle first. */
-std::vector<std::string> victims(const Pass &pass, const TargetId &target)
+/** @return Mean time between uses of a variant, as far as it is known. */
+Duration meanGap(const VariantHistory &history)
 {
-    std::vector<std::pair<TimePoint, std::string>> idle;
-    for (const auto &[id, replica] : pass.replicas) {
-        if (replica.target != target || replica.state != ReplicaState::Ready)
-            continue;
-        const auto history = pass.planner.history.find(replica.variant);
-        TimePoint lastUse = pass.planner.since;
-        if (history != pass.planner.history.end()) {
-            if (history->second.waiting + history->second.running > 0)
-                continue;
-            lastUse = std::max(lastUse, history->second.lastUse);
-        }
-        const bool needed = std::any_of(
-            pass.replicas.begin(), pass.replicas.end(), [&, &held = replica](const auto &item) {
-                return item.second.target == target && !item.second.variant.adapter.value.empty()
-                    && held.variant.adapter.value.empty()
-                    && item.second.variant.model == held.variant.model;
-            });
-        const auto model = pass.input.view.models.find(replica.variant.model);
-        const bool pinned = model != pass.input.view.models.end()
-            && replica.variant.adapter.value.empty()
-            && pass.counts.at(replica.variant) <= model->second.minReplicas;
-        if (!needed && !pinned && pass.now - lastUse >= pass.planner.tuning.victimIdle)
-            idle.emplace_back(lastUse, id);
+    if (history.gaps.empty())
+        return std::chrono::hours(1);
+    Duration sum{};
+    for (const Duration gap : history.gaps)
+        sum += gap;
+    return sum / static_cast<std::int64_t>(history.gaps.size());
+}
+
+bool hasAdapterOn(const Pass &pass, const TargetId &target, const ModelId &model)
+{
+    const auto ids = pass.byTarget.find(target);
+    return ids != pass.byTarget.end()
+        && std::any_of(ids->second.begin(), ids->second.end(), [&](const std::string &id) {
+               const Variant &variant = pass.replicas.at(id).variant;
+               return variant.model == model && !variant.adapter.value.empty();
+           });
+}
+
+/** @return How long the replica's work can be expected to stay away, or nothing if it must stay. */
+std::optional<Duration> expectedAbsence(const Pass &pass, const Replica &replica)
+{
+    if (replica.state != ReplicaState::Ready)
+        return std::nullopt;
+    const bool isBase = replica.variant.adapter.value.empty();
+    const auto model = pass.input.view.models.find(replica.variant.model);
+    const bool pinned = model != pass.input.view.models.end() && isBase
+        && pass.counts.at(replica.variant) <= model->second.minReplicas;
+    if (pinned || (isBase && hasAdapterOn(pass, replica.target, replica.variant.model)))
+        return std::nullopt;
+    const auto history = pass.planner.history.find(replica.variant);
+    if (history == pass.planner.history.end())
+        return std::chrono::hours(2);
+    if (history->second.waiting + history->second.running > 0)
+        return std::nullopt;
+    const TimePoint lastUse = std::max(history->second.lastUse, pass.planner.since);
+    if (pass.now - lastUse < pass.planner.tuning.victimIdle)
+        return std::nullopt;
+    // Another replica can take over: this one is hardly missed.
+    const bool spare = pass.readyCounts.at(replica.variant) > 1;
+    return spare ? Duration(std::chrono::hours(3))
+                 : std::max(meanGap(history->second), pass.now - lastUse);
+}
+
+/** Idle replicas on @p target that may go, the one least missed first. */
+const std::vector<std::string> &victims(Pass &pass, const TargetId &target)
+{
+    const auto [memo, added] = pass.idleByTarget.try_emplace(target);
+    if (!added)
+        return memo->second;
+    std::vector<std::pair<Duration, std::string>> idle;
+    for (const std::string &id : pass.byTarget[target]) {
+        if (const std::optional<Duration> absence = expectedAbsence(pass, pass.replicas.at(id)))
+            idle.emplace_back(-*absence, id);
     }
     std::sort(idle.begin(), idle.end());
-    std::vector<std::string> ids;
-    for (auto &[lastUse, id] : idle)
-        ids.push_back(std::move(id));
-    return ids;
+    for (auto &[absence, id] : idle)
+        memo->second.push_back(std::move(id));
+    return memo->second;
 }
 
 void beginUnload(Pass &pass, const std::string &id)
@@ -365,6 +408,7 @@
     ++pass.ordersAt[replica.target];
     --pass.counts[replica.variant];
     --pass.readyCounts[replica.variant];
+    pass.idleByTarget.erase(replica.target);
     pass.decision.put.push_back(replica);
 }
 
@@ -378,15 +422,21 @@
     replica.version = need.version;
     replica.memoryMb = need.memoryMb;
     pass.decision.put.push_back(replica);
-    pass.replicas[replicaId(target.id, need.variant)] = replica;
+    const std::string id = replicaId(target.id, need.variant);
+    pass.replicas[id] = replica;
+    pass.byTarget[target.id].insert(id);
+    pass.idleByTarget.erase(target.id);
     pass.reservedMb[target.id] += need.memoryMb;
     ++pass.counts[need.variant];
+    ++pass.zoneCounts[{target.zone, need.variant}];
     ++pass.ordersAt[target.id];
-    if (need.variant.adapter.value.empty()) {
-        ++pass.modelLoads;
+    if (!need.variant.adapter.value.empty()) {
+        ++pass.adapterLoads;
+    } else if (tierOf(target, need.variant.model) == CacheTier::Remote) {
+        ++pass.storeLoads;
         pass.planner.storeCredit -= 1;
     } else {
-        ++pass.adapterLoads;
+        pass.planner.cachedLoads.insert(id);
     }
     for (const AccountId &account : need.accounts)
         pass.planner.loadsByAccount[account] += 1;
@@ -400,13 +450,8 @@
 
 int replicasInZone(const Pass &pass, const ZoneId &zone, const Variant &variant)
 {
-    int count = 0;
-    for (const auto &[id, replica] : pass.replicas) {
-        const TargetAnnouncement *target
-            = replica.variant == variant ? serving(pass, replica.target) : nullptr;
-        count += target != nullptr && target->zone == zone ? 1 : 0;
-    }
-    return count;
+    const auto count = pass.zoneCounts.find({zone, variant});
+    return count == pass.zoneCounts.end() ? 0 : count->second;
 }
 
 /** @return The target to load @p need on now, or null. */
@@ -432,8 +477,12 @@
     return best;
 }
 
-/** Starts unloading idle replicas where that makes room for @p need soonest. */
-void makeRoom(Pass &pass, const Need &need)
+/**
+ * Starts unloading idle replicas where that makes room for @p need soonest.
+ * @param onlyCached Only targets that have the checkpoint cached are considered.
+ * @return Whether room is on its way.
+ */
+bool makeRoom(Pass &pass, const Need &need, bool onlyCached)
 {
     std::vector<std::string> best;
     int bestTier = 0;
@@ -444,14 +493,17 @@
             continue;
         if (!need.variant.adapter.value.empty() && !hasReadyBase(pass, id, need.variant.model))
             continue;
+        const int tier = static_cast<int>(tierOf(*target, need.variant.model));
+        if (onlyCached && tier == static_cast<int>(CacheTier::Remote))
+            continue;
         std::int64_t room = freeMb(pass, *target);
         // Room that is on its way already is not made a second time.
-        for (const auto &[other, replica] : pass.replicas) {
-            if (replica.target == id && replica.state == ReplicaState::Unloading)
-                room += replica.memoryMb;
+        for (const std::string &other : pass.byTarget[id]) {
+            const Replica &replica = pass.replicas.at(other);
+            room += replica.state == ReplicaState::Unloading ? replica.memoryMb : 0;
         }
         if (room >= need.memoryMb)
-            return;
+            return true;
         std::vector<std::string> chosen;
         for (const std::string &victim : victims(pass, id)) {
             if (room >= need.memoryMb)
@@ -472,14 +524,18 @@
     }
     for (const std::string &id : best)
         beginUnload(pass, id);
+    return !best.empty();
 }
 
-bool storeHasRoom(const Pass &pass, const Need &need)
+/** @return Whether a load from @p tier may begin now. */
+bool hasLoadSlot(const Pass &pass, const Need &need, CacheTier tier)
 {
     const PlannerTuning &tuning = pass.planner.tuning;
-    if (need.variant.adapter.value.empty())
-        return pass.modelLoads < tuning.storeLoadsAtOnce && pass.planner.storeCredit >= 1;
-    return pass.adapterLoads < tuning.adapterLoadsAtOnce;
+    if (!need.variant.adapter.value.empty())
+        return pass.adapterLoads < tuning.adapterLoadsAtOnce;
+    if (tier != CacheTier::Remote)
+        return true; // The weight store is not touched.
+    return pass.storeLoads < tuning.storeLoadsAtOnce && pass.planner.storeCredit >= 1;
 }
 
 void refillStoreCredit(Planner &planner, TimePoint now)
@@ -491,28 +547,25 @@
         planner.storeCredit + std::max(elapsed, 0.0) * planner.tuning.storeLoadsPerSecond, most);
 }
 
-/** Unloads replicas that were idle for longer than their window, or whose version is old. */
+/** Unloads replicas that were idle for longer than their window, or whose model is withdrawn. */
 void unloadIdle(Pass &pass)
 {
-    std::vector<std::string> ids;
-    for (const auto &[id, replica] : pass.replicas)
-        ids.push_back(id);
-    for (const std::string &id : ids) {
-        const Replica &replica = pass.replicas.at(id);
-        const TargetAnnouncement *target = serving(pass, replica.target);
-        if (replica.state != ReplicaState::Ready || target == nullptr || !takesOrder(pass, *target))
-            continue;
-        const std::vector<std::string> idle = victims(pass, replica.target);
-        if (std::find(idle.begin(), idle.end(), id) == idle.end())
+    for (const auto &[targetId, entry] : pass.input.registry.targets) {
+        const TargetAnnouncement *target = serving(pass, targetId);
+        if (target == nullptr || !takesOrder(pass, *target))
             continue;
-        const auto model = pass.input.view.models.find(replica.variant.model);
-        const bool withdrawn = model == pass.input.view.models.end();
-        const auto history = pass.planner.history.find(replica.variant);
-        const TimePoint lastUse = history == pass.planner.history.end()
-            ? pass.planner.since
-            : std::max(history->second.lastUse, pass.planner.since);
-        if (withdrawn || pass.now - lastUse >= keepWarmWindow(pass.planner, replica.variant))
-            beginUnload(pass, id);
+        const std::vector<std::string> idle = victims(pass, targetId);
+        for (const std::string &id : idle) {
+            const Replica &replica = pass.replicas.at(id);
+            const bool withdrawn = !pass.input.view.models.contains(replica.variant.model);
+            const auto history = pass.planner.history.find(replica.variant);
+            const TimePoint lastUse = history == pass.planner.history.end()
+                ? pass.planner.since
+                : std::max(history->second.lastUse, pass.planner.since);
+            const bool over = pass.now - lastUse >= keepWarmWindow(pass.planner, replica.variant);
+            if ((withdrawn || over) && takesOrder(pass, *target))
+                beginUnload(pass, id);
+        }
     }
 }
 
@@ -564,8 +617,11 @@
 
 PlacementDecision decide(Planner &planner, const PlacementView &input, TimePoint now)
 {
-    Pass pass{planner, input, now, input.view.replicas, {}, {}, {},
-              {},      0,     0,   input.lastFencing,   {}};
+    Pass pass{.planner = planner,
+              .input = input,
+              .now = now,
+              .replicas = input.view.replicas,
+              .nextFencing = input.lastFencing};
     refreshHistory(planner, now);
     refillStoreCredit(planner, now);
     for (auto &[account, charge] : planner.loadsByAccount)
@@ -585,13 +641,14 @@
     for (const auto &[id, replica] : pass.replicas)
         countReplica(pass, replica);
     for (const Need &need : collectNeeds(pass)) {
-        if (!storeHasRoom(pass, need))
-            continue;
         const TargetAnnouncement *target = chooseTarget(pass, need);
-        if (target != nullptr)
+        const bool uncached
+            = target != nullptr && tierOf(*target, need.variant.model) == CacheTier::Remote;
+        // Where the checkpoint is cached, making room first is faster than a load from the store.
+        if (need.first && (target == nullptr || uncached) && makeRoom(pass, need, target != nullptr))
+            continue;
+        if (target != nullptr && hasLoadSlot(pass, need, tierOf(*target, need.variant.model)))
             beginLoad(pass, need, *target);
-        else if (need.first)
-            makeRoom(pass, need);
     }
     unloadIdle(pass);
     return std::move(pass.decision);
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -37,7 +37,6 @@
     std::optional<TimePoint> earliestDeadline;
     TimePoint lastUse; ///< Last time it was in use or asked for.
     std::vector<Duration> gaps; ///< Latest gaps between uses, oldest first.
-    TimePoint coldSince; ///< When waiting began without any replica.
     std::map<AccountId, int> accounts; ///< Waiting requests by account.
 };
 
@@ -66,9 +65,9 @@
     std::map<Variant, VariantHistory> history;
     std::map<HostId, std::map<Variant, HostVariantUse>> hostUses;
     std::map<std::string, OutstandingOrder> orders; ///< By replicaId().
+    std::set<std::string> cachedLoads; ///< Replicas loading without the weight store.
     double storeCredit = 0; ///< Loads that may begin now.
     TimePoint storeCreditAt;
-    double storeSlowdown = 1; ///< Measured load time relative to the expected one, smoothed.
     std::map<AccountId, double> loadsByAccount; ///< Recent loads charged to each account.
     std::map<TargetId, TimePoint> refusedUntil; ///< Targets that failed an order are left alone.
     std::map<Variant, TimePoint> failedUntil; ///< Variants whose load failed wait before a retry.
