Fix: [Net] Entry hosts aborted while no control host was in reach

Cause, by backtrace: gRPC ends its callback threads with the last channel, and a new channel at that moment fails its reference count and aborts; each retry of a host made and dropped its only channel. Ruled out: ports taken by outgoing connections (test ports now lie below that range all the same) and writes after the stream's end (a hold was missing there as well and is now taken). Now the first channel of a process stays.

--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -124,6 +124,7 @@
     if (total <= slots.pool.bound)
         return slots.pool.level >= 1 ? -1 : static_cast<int>(ownTotal);
     std::vector<Claim> list;
+    list.reserve(claims.size());
     for (const auto &[account, claim] : claims)
         list.push_back(claim);
     const std::vector<double> shares = maxMinShares(list, slots.pool.bound);
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -190,12 +190,14 @@
         proceed(host, request, effects, now);
         return;
     }
-    host.accounts[request.account].waiting.push_back(id);
-    host.accounts[request.account].lastUse = now;
-    drainBudgets(host, request.account, effects, now);
+    // The request may be gone before the account's name was used for the last time.
+    const AccountId account = request.account;
+    host.accounts[account].waiting.push_back(id);
+    host.accounts[account].lastUse = now;
+    drainBudgets(host, account, effects, now);
 }
 
-void drainBudgets(Host &host, AccountId account, HostEffects &effects, TimePoint now)
+void drainBudgets(Host &host, const AccountId &account, HostEffects &effects, TimePoint now)
 {
     HeldAccount &held = host.accounts[account];
     while (!held.waiting.empty()) {
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -12,7 +12,7 @@
 void onCallerRequest(Host &host, const CallerRequest &asked, HostEffects &effects, TimePoint now);
 void onCallerGone(Host &host, RequestId request, HostEffects &effects, TimePoint now);
 /** Takes budgets for waiting requests in order, as far as they go. */
-void drainBudgets(Host &host, AccountId account, HostEffects &effects, TimePoint now);
+void drainBudgets(Host &host, const AccountId &account, HostEffects &effects, TimePoint now);
 /** Puts an admitted request into the queue, or asks for its call record first. */
 void proceed(Host &host, Request &request, HostEffects &effects, TimePoint now);
 
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -29,8 +29,13 @@
     arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetMaxReceiveMessageSize(MAX_FRAME_BYTES);
-    return grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(),
-                                     arguments);
+    const auto channel = grpc::CreateCustomChannel(
+        "ipv4:" + address, grpc::InsecureChannelCredentials(), arguments);
+    // gRPC ends its callback threads with the last channel, and aborts if a new one comes just
+    // then; so the first one stays.
+    static const auto *first = new std::shared_ptr<grpc::Channel>(channel);
+    (void)first;
+    return channel;
 }
 
 } // namespace
@@ -57,6 +62,8 @@
         , stub(rpc::Peers::NewStub(this->channel))
     {
         this->stub->async()->Exchange(&this->context, this);
+        // Writes start on other threads than gRPC's, so the stream must not end on its own.
+        this->AddHold();
         this->StartRead(&this->incoming);
         this->StartCall();
     }
@@ -71,6 +78,11 @@
     {
         if (!ok) {
             this->context.TryCancel();
+            {
+                absl::MutexLock lock(&this->mutex);
+                this->closed = true;
+            }
+            this->RemoveHold();
             return;
         }
         this->noteConnected();
@@ -120,7 +132,7 @@
 private:
     void writeNext()
     {
-        if (this->writing || this->queue.empty())
+        if (this->writing || this->closed || this->queue.empty())
             return;
         this->writing = true;
         this->StartWrite(&this->queue.front());
@@ -140,6 +152,7 @@
     absl::Mutex mutex;
     std::deque<rpc::Frame> queue;
     bool writing = false;
+    bool closed = false; ///< No further write may start.
 };
 
 PeerClient::PeerClient(std::string address, OnFrame onFrame, OnState onState)
--- a/src/replay/decision_loop.cpp
+++ b/src/replay/decision_loop.cpp
@@ -236,7 +236,7 @@
     this->take(step(this->control, event, this->time));
 }
 
-void DecisionLoop::take(ControlEffects effects)
+void DecisionLoop::take(const ControlEffects &effects)
 {
     const std::uint64_t life = this->controlLife;
     for (const JournalWrite &write : effects.journal) {
--- a/src/replay/decision_loop_base.h
+++ b/src/replay/decision_loop_base.h
@@ -103,7 +103,7 @@
     void stepHost(int host, const HostEvent &event);
     void execute(int host, const HostEffect &effect);
     void stepControl(const ControlEvent &event);
-    void take(ControlEffects effects);
+    void take(const ControlEffects &effects);
     void startAttempt(int host, const StartAttempt &attempt);
     void announceAll();
     void tickAll();
--- a/src/tests/system/fleet.py
+++ b/src/tests/system/fleet.py
@@ -1,5 +1,6 @@
 """Real daemons and small fake targets as plain processes on loopback."""
 
+import itertools
 import json
 import os
 import shutil
@@ -15,15 +16,21 @@
 START_LIMIT_S = 20
 
 
+PORTS = itertools.cycle(range(10_000 + os.getpid() % 10_000, 30_000))
+
+
 def free_ports(count):
-    """Ports that are free now; all are held until the last one is found."""
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
+    """Ports that are free now, below the range from which outgoing connections take theirs."""
+    found = []
+    while len(found) < count:
+        port = next(PORTS)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 def wait_for(condition, limit=START_LIMIT_S, pause=0.02):
--- /dev/null
+++ b/src/tests/system/measure.py
@@ -0,0 +1,160 @@
+"""Measurements with real processes: speed of one daemon, and slopes of the control cost."""
+
+import argparse
+import json
+import os
+import sys
+import time
+
+from fleet import Site, default_folder, wait_for
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def usage(pid):
+    """Processor seconds and resident megabytes of a process."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    with open(f"/proc/{pid}/status", encoding="ascii") as f:
+        resident = next(int(line.split()[1]) for line in f if line.startswith("VmRSS"))
+    return (int(fields[11]) + int(fields[12])) / TICKS, resident / 1024
+
+
+def loopback_bytes():
+    """Bytes that loopback carried."""
+    with open("/proc/net/dev", encoding="ascii") as f:
+        return next(int(line.split()[1]) for line in f if line.strip().startswith("lo:"))
+
+
+def wide_folder():
+    """Accounts without narrow limits."""
+    folder = default_folder()
+    for account in folder["accounts"]:
+        account.update(requestsPerSecond=100000, requestBurst=100000)
+    return folder
+
+
+def speed(build):
+    """What one daemon adds to a direct call, and how much it carries."""
+    site = Site(build, hosts=1, controls=1, zones=1, folder=wide_folder())
+    try:
+        for i in range(4):
+            site.start_target(f"c{i}", "z1", "--service-ms", "0", "--concurrent", "64",
+                              kind="service", service="calendar")
+        site.set_up()
+        site.wait_targets(4)
+        profile = {"account": "desk", "path": "/calendar", "timeLimitMs": 4000}
+        site.load(3, [{**profile, "perSecond": 500}])()
+        rows = []
+        for rate in (100, 500, 1000, 2000, 3000, 4000, 5000, 6000):
+            hosts = site.hosts
+            real = site.caller
+            site.caller = lambda host: f"127.0.0.1:{site.addresses['c0']}"
+            direct, _ = site.load(3, [{**profile, "perSecond": rate}], rate)()
+            site.caller = real
+            before = usage(site.processes["h1"].pid)
+            begin = time.monotonic()
+            through, _ = site.load(3, [{**profile, "perSecond": rate}], rate, hosts)()
+            took = time.monotonic() - begin
+            after = usage(site.processes["h1"].pid)
+            a, d = through["all"], direct["all"]
+            rows.append({
+                "perSecond": rate, "served": a["whole"] / a["sent"],
+                "directMs": d["latencyMs"], "throughMs": a["latencyMs"],
+                "addedP50Ms": a["latencyMs"]["p50"] - d["latencyMs"]["p50"],
+                "addedP99Ms": a["latencyMs"]["p99"] - d["latencyMs"]["p99"],
+                "cores": (after[0] - before[0]) / took, "residentMb": after[1]})
+            print(json.dumps(rows[-1]), flush=True)
+    finally:
+        site.close()
+
+
+def waiting(build):
+    """Memory for a thousand requests that wait."""
+    site = Site(build, hosts=1, controls=1, zones=1, folder=wide_folder())
+    try:
+        site.start_target("l1", "z1", "--service-ms", "4000", "--concurrent", "1", kind="service",
+                          service="calendar")
+        site.set_up()
+        site.wait_targets(1)
+        before = usage(site.processes["h1"].pid)[1]
+        finish = site.load(0.5, [{"account": "desk", "path": "/calendar", "perSecond": 2000,
+                                  "timeLimitMs": 5000}])
+        time.sleep(2.5)
+        after = usage(site.processes["h1"].pid)[1]
+        finish()
+        print(json.dumps({"waiting": 1000, "beforeMb": before, "afterMb": after}))
+    finally:
+        site.close()
+
+
+def slopes(build):
+    """Processor time, memory and bytes of control, as hosts, targets and models grow."""
+    for hosts, targets, models in ((4, 4, 20), (12, 4, 20), (24, 4, 20), (12, 24, 20), (12, 48, 20),
+                                   (12, 4, 220)):
+        folder = wide_folder()
+        folder["models"] = [{"id": f"m{i}", "adapters": [f"a{j}" for j in range(26)]}
+                            for i in range(models)]
+        site = Site(build, hosts=hosts, controls=3, folder=folder)
+        try:
+            for i in range(targets):
+                site.start_target(f"e{i}", site.zones[i % 3])
+            site.set_up()
+            site.wait_targets(targets)
+            time.sleep(3)
+            before = {h: usage(site.processes[h].pid) for h in site.hosts}
+            carried, begin = loopback_bytes(), time.monotonic()
+            time.sleep(8)
+            took = time.monotonic() - begin
+            carried = loopback_bytes() - carried
+            after = {h: usage(site.processes[h].pid) for h in site.hosts}
+            leader = site.leader()
+
+            def share(host):
+                return (after[host][0] - before[host][0]) / took
+            entries = [h for h in site.hosts if h not in site.controls]
+            followers = [h for h in site.controls if h != leader]
+            mean = lambda names, value: sum(value(h) for h in names) / len(names)  # noqa: E731
+            print(json.dumps({
+                "hosts": hosts, "targets": targets, "models": models,
+                "entryCore": mean(entries, share), "followerCore": mean(followers, share),
+                "leaderCore": share(leader),
+                "entryMb": mean(entries, lambda h: after[h][1]),
+                "leaderMb": after[leader][1],
+                "loopbackBytesPerSecond": carried / took}), flush=True)
+        finally:
+            site.close()
+
+
+def force(build):
+    """Time until a change is in force on every host, and commits a second."""
+    site = Site(build, hosts=9, controls=3)
+    try:
+        site.set_up()
+        times = []
+        for i in range(40):
+            begin = time.monotonic()
+            site.ctl("--wait", "zone", "out" if i % 2 else "in", "z9")
+            times.append(time.monotonic() - begin)
+        times.sort()
+        print(json.dumps({"inForceS": {"p50": times[20], "p95": times[37], "most": times[-1]}}))
+        gaps = []
+        for _ in range(12):
+            leader = site.leader()
+            site.kill(leader)
+            gaps.append(wait_for(lambda: site.leader() not in (None, leader), 5, 0.005))
+            site.restart(leader)
+            time.sleep(1.5)
+        gaps.sort()
+        print(json.dumps({"withoutLeaderS": {"p50": gaps[6], "most": gaps[-1]}}))
+    finally:
+        site.close()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("what", choices=["speed", "waiting", "slopes", "force"])
+    options = parser.parse_args()
+    globals()[options.what](options.build)
+    sys.exit(0)
--- a/src/tests/system/scenarios.py
+++ b/src/tests/system/scenarios.py
@@ -491,3 +491,27 @@
         wait_for(lambda: site.call("h1", "desk", "/calendar", {})[0] == 200, 10)
         status, _, _ = site.call("h1", "desk", "/calendar", {})
         report.check(SERVICE, status == 200, f"{status}")
+
+
+def scenario_no_control_group_in_reach(build, report, seed):
+    """Entry hosts start while no control host is there, and serve once there is one."""
+    del seed
+    site = Site(build, hosts=8, controls=3)
+    try:
+        wait_for(lambda: site.leader() is not None)
+        for host in site.controls:
+            site.kill(host)
+        time.sleep(2.5)
+        for _ in range(20):
+            time.sleep(0.5)
+            for host in site.hosts[3:]:
+                report.check(SERVICE, site.alive(host), f"{host} ended without a control group")
+        status = http("GET", f"127.0.0.1:{site.ports['h5'][1]}", "/readyz")[0]
+        report.check(IN_TIME, status == 503, f"readyz {status}")
+        for host in site.controls:
+            site.restart(host)
+        took = wait_for(lambda: http("GET", f"127.0.0.1:{site.ports['h5'][1]}", "/readyz",
+                                     timeout=1)[0] == 200, 10)
+        report.check(SERVICE, took is not None, "not ready after the control group came back")
+    finally:
+        site.close()
