--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -29,8 +29,8 @@
     arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetMaxReceiveMessageSize(MAX_FRAME_BYTES);
-    auto channel = grpc::CreateCustomChannel("ipv4:" + address,
-                                                   grpc::InsecureChannelCredentials(), arguments);
+    auto channel = grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(),
+                                             arguments);
     // gRPC ends its callback threads with the last channel, and aborts if a new one comes just
     // then; so the first one stays.
     static const auto *first = new std::shared_ptr<grpc::Channel>(channel);
