--- a/src/tests/shared_limits_test.cpp
+++ b/src/tests/shared_limits_test.cpp
@@ -135,6 +135,21 @@
     }
 }
 
+Test(shared_rate, an_account_over_its_rate_does_not_flood_the_leader_with_reports)
+{
+    constexpr int SECONDS = 5;
+    DecisionLoop loop(2, serviceFolder({makeAccount("a", 10, 10)}), 1);
+    loop.addTarget(makeService("t", "z0", 64, 2ms));
+    loop.runUntil(TimePoint(6s));
+    for (int i = 0; i < 150 * SECONDS; ++i)
+        loop.send(0, callOf("a"), loop.now() + Duration(i * 6'667));
+    const std::uint64_t before = loop.hosts[0].host.counters.reports;
+    loop.runUntil(loop.now() + std::chrono::seconds(SECONDS));
+    const std::uint64_t reports = loop.hosts[0].host.counters.reports - before;
+    // One each 40 ms and each 250 ms, and some while the pause still grows.
+    cr_assert_leq(reports, 40 * SECONDS, "%lu reports in %d s", reports, SECONDS);
+}
+
 Test(shared_slots, a_target_never_gets_more_than_its_ramp_from_all_hosts_together)
 {
     for (unsigned seed = 1; seed <= 5; ++seed) {
