--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 bench: build
 	@python3 src/bench/report.py --build $(BUILD) --out bench-report.html
 
-SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' | grep -v generated)
+SOURCES = $(shell git ls-files 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v generated)
 format:
 	@clang-format -i $(SOURCES)
 
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -31,11 +31,15 @@
     double weight = 1; ///< Share of contended targets relative to other accounts.
     std::vector<std::string> models{"*"}; ///< Models, or model:adapter, it may call; "*" for all.
     std::vector<std::string> routes{"*"}; ///< Routes it may call; "*" for all.
+    bool limitsRequests = true; ///< Whether the request budget binds.
+    bool limitsTokens = true; ///< Whether the token budget binds.
+    std::int64_t tokensOfPlainCall = 0; ///< Charged for a call that declares no tokens.
 
     friend bool operator==(const Account &, const Account &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Account, id, requestsPerSecond, requestBurst,
-                                                tokensPerSecond, tokenBurst, weight, models, routes)
+                                                tokensPerSecond, tokenBurst, weight, models, routes,
+                                                limitsRequests, limitsTokens, tokensOfPlainCall)
 
 /** A key; the secret itself is never stored. */
 struct Key
@@ -54,35 +58,67 @@
 {
     ModelId id;
     std::vector<AdapterId> adapters;
+    std::string service; ///< Service whose engines serve it; empty: engines without one.
     std::int64_t memoryMb = 16'000; ///< Accelerator memory of one replica.
     std::int64_t adapterMemoryMb = 200; ///< Additional memory of each adapter.
     int minReplicas = 0; ///< Kept loaded even when idle.
     int maxReplicas = 4;
-    Version version{1}; ///< Version of the weights to serve.
+    Version version{1}; ///< Version of the weights to serve; 0: whichever an engine has.
     WorkClass workClass = WorkClass::Interactive;
     int timeLimitMs = 60'000; ///< Longest time a caller may wait for the whole answer.
 
     friend bool operator==(const Model &, const Model &) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Model, id, adapters, memoryMb, adapterMemoryMb,
-                                                minReplicas, maxReplicas, version, workClass,
-                                                timeLimitMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Model, id, adapters, service, memoryMb,
+                                                adapterMemoryMb, minReplicas, maxReplicas, version,
+                                                workClass, timeLimitMs)
+
+/** Part of a route's requests that goes to one service. */
+struct RouteShare
+{
+    std::string service;
+    std::int64_t weight = 1; ///< Relative to the other shares of the route.
+
+    friend bool operator==(const RouteShare &, const RouteShare &) = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RouteShare, service, weight)
+
+/** What the operator says of all targets of one service. */
+struct ServicePolicy
+{
+    std::string id; ///< Name that the targets announce.
+    double coldStartsPerSecond = 0; ///< Requests that one cold target bears; 0: no limit.
+    std::int64_t memoryMb = 0; ///< Accelerator memory of one engine; 0: a plain service.
+    int adapterSlots = 0; ///< Adapters that one engine holds at once; 0: no limit.
+    double storeLoadsPerSecond = 0; ///< Model loads that the weight store allows; 0: the default.
+
+    friend bool operator==(const ServicePolicy &, const ServicePolicy &) = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServicePolicy, id, coldStartsPerSecond, memoryMb,
+                                                adapterSlots, storeLoadsPerSecond)
 
 /** A named path that leads to a plain service. */
 struct Route
 {
     RouteId id;
+    std::string host; ///< Virtual host that callers name; empty: any.
     std::string path; ///< Path prefix on the callers' port.
-    std::string service; ///< Name that the service's targets announce.
+    std::string service; ///< Name that the service's targets announce; unused if there is a split.
+    std::vector<RouteShare> split; ///< Services that share the requests by weight.
     bool repeatable = false; ///< Whether a call may be sent twice.
+    bool resumable = false; ///< Whether another target may continue a broken stream.
     bool open = false; ///< Whether callers need no key.
     WorkClass workClass = WorkClass::Interactive;
     int timeLimitMs = 5'000;
+    int attempts = 3; ///< Most targets that may run one call.
+    int latencyGoalMs = 0; ///< Time to the answer's beginning that callers hope for; 0: none.
+    int priority = 0; ///< 0 goes first.
 
     friend bool operator==(const Route &, const Route &) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Route, id, path, service, repeatable, open,
-                                                workClass, timeLimitMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Route, id, host, path, service, split, repeatable,
+                                                resumable, open, workClass, timeLimitMs, attempts,
+                                                latencyGoalMs, priority)
 
 /** What the operator says of a target beyond its own announcement. */
 struct TargetPolicy
@@ -149,9 +185,12 @@
     std::map<ModelId, Model> models;
     std::map<RouteId, Route> routes;
     std::map<TargetId, TargetPolicy> targets;
+    std::map<std::string, ServicePolicy> services;
+    std::map<KeyId, Key> keys; ///< Only in a configuration that is replaced as a whole.
 
     friend bool operator==(const FolderConfig &, const FolderConfig &) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FolderConfig, accounts, models, routes, targets)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FolderConfig, accounts, models, routes, targets,
+                                                services, keys)
 
 } // namespace bilberry
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int MAX_PORT = 65'535;
+constexpr int MAX_VOTERS = 9;
 constexpr std::int64_t MAX_BODY_BYTES = 1 << 30;
 
 bool isIpNumber(const std::string &text)
@@ -46,6 +47,8 @@
 {
     std::map<HostId, Endpoint> out;
     const nlohmann::json &hosts = reader.raw("controlHosts");
+    if (hosts.is_null())
+        return out;
     FieldReader hostReader(hosts, file, "controlHosts", problems);
     if (!hosts.is_object())
         return out;
@@ -54,8 +57,40 @@
     return out;
 }
 
+/** Seeds are named by any of their addresses: only the IP number counts. */
+std::vector<Endpoint> readSeeds(FieldReader &reader, int peersPort)
+{
+    std::vector<Endpoint> out;
+    for (const std::string &text : reader.texts("controlSeeds", {})) {
+        const std::string ip = text.substr(0, text.rfind(':'));
+        if (isIpNumber(ip))
+            out.push_back({ip, peersPort});
+        else
+            reader.problem("controlSeeds", "a list of IP or IP:PORT with IP numbers");
+    }
+    return out;
+}
+
+EdgeKind readEdge(FieldReader &reader)
+{
+    const std::string name = reader.text("edge", "own");
+    if (name != "own" && name != "platform")
+        reader.problem("edge", "\"own\" or \"platform\"");
+    return name == "platform" ? EdgeKind::Platform : EdgeKind::Own;
+}
+
 } // namespace
 
+std::vector<std::string> controlAddressesOf(const Settings &settings)
+{
+    std::vector<std::string> out;
+    for (const auto &[host, endpoint] : settings.controlHosts)
+        out.push_back(endpoint.text());
+    for (const Endpoint &seed : settings.controlSeeds)
+        out.push_back(seed.text());
+    return out;
+}
+
 CheckedSettings checkSettings(const std::string &file, const std::string &content)
 {
     CheckedSettings out;
@@ -72,10 +107,20 @@
     settings.control = reader.boolean("control", settings.control);
     settings.dataFolder = reader.text("dataFolder", "", settings.control);
     settings.callers = readEndpoint(reader, "callers", settings.entry);
-    settings.targets = readEndpoint(reader, "targets", settings.entry);
+    settings.edge = readEdge(reader);
+    settings.targets
+        = readEndpoint(reader, "targets", settings.entry && settings.edge == EdgeKind::Own);
+    settings.readiness = readEndpoint(reader, "readiness", false);
     settings.operators = readEndpoint(reader, "operators", true);
     settings.peers = readEndpoint(reader, "peers", settings.control);
     settings.controlHosts = readControlHosts(reader, file, out.problems);
+    settings.controlSeeds = readSeeds(reader, settings.peers.port);
+    settings.found = reader.boolean("found", false);
+    settings.voters = static_cast<int>(reader.integer("voters", 0, 0, MAX_VOTERS));
+    settings.retryShare = reader.number("retryShare", settings.retryShare, 0, 10);
+    settings.retryBurst = reader.number("retryBurst", settings.retryBurst, 0, 1e6);
+    settings.freshnessLease
+        = std::chrono::milliseconds(reader.integer("freshnessLeaseMs", 2'000, 100, 60'000));
     settings.maxBodyBytes = static_cast<std::size_t>(reader.integer(
         "maxBodyBytes", static_cast<std::int64_t>(settings.maxBodyBytes), 1024, MAX_BODY_BYTES));
     settings.maxWaiting = static_cast<std::size_t>(
@@ -86,8 +131,10 @@
     settings.logFile = reader.text("logFile", "");
     settings.traceFile = reader.text("traceFile", "");
     reader.finish();
-    if (settings.controlHosts.empty())
-        reader.problem("controlHosts", "an object of host: \"IP:PORT\" with at least one host");
+    if (settings.controlHosts.empty() && settings.controlSeeds.empty())
+        reader.problem("controlHosts",
+                       "an object of host: \"IP:PORT\" with at least one host, "
+                       "unless controlSeeds names some");
     return out;
 }
 
--- a/src/config/settings_func.h
+++ b/src/config/settings_func.h
@@ -15,6 +15,9 @@
     std::vector<FieldProblem> problems;
 };
 
+/** @return Addresses of control hosts to begin with, "ip:port" each. */
+std::vector<std::string> controlAddressesOf(const Settings &settings);
+
 /** @return Settings from the JSON text @p content of @p file. */
 CheckedSettings checkSettings(const std::string &file, const std::string &content);
 
--- a/src/config/settings_type.h
+++ b/src/config/settings_type.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace bilberry {
 
@@ -21,6 +22,12 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Endpoint, ip, port)
 
+/** Whose interface the daemon speaks to callers, targets and operators. */
+enum class EdgeKind {
+    Own, ///< docs/API.md.
+    Platform, ///< docs/PLATFORM.md.
+};
+
 /** Everything a daemon learns at its start. */
 struct Settings
 {
@@ -33,8 +40,16 @@
     Endpoint operators; ///< Listens for operators and scrapers.
     Endpoint targets; ///< Listens for announcements of targets.
     Endpoint peers; ///< Listens for the system's own processes.
+    Endpoint readiness; ///< Listens for a balancer's probes; port 0: only the operators' port does.
+    EdgeKind edge = EdgeKind::Own;
     std::map<HostId, Endpoint> controlHosts; ///< Control members at the time of writing.
+    std::vector<Endpoint> controlSeeds; ///< Some control hosts, with the port of @c peers.
+    bool found = false; ///< Seeds found a new control group if their data folder is empty.
+    int voters = 0; ///< Members are replaced until so many vote; 0: only operators change them.
     std::size_t maxBodyBytes = 4 << 20;
+    double retryShare = 0.2; ///< Retries of all hosts per request of a service.
+    double retryBurst = 100; ///< Retries of all hosts beyond that.
+    Duration freshnessLease = 2s; ///< Without contact, shared state counts this long.
     std::size_t maxWaiting = 10'000; ///< Requests held by this host at once.
     Duration reportInterval = 250ms; ///< Between two reports to the control group.
     Duration drain = 5s; ///< Keeps serving this long after readiness went false.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -184,6 +184,7 @@
     }
     judgeSuspects(control, effects, now);
     continueMemberChange(control, effects, now);
+    maintainMembers(control, effects, now);
     runPlacement(control, effects, now);
 }
 
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -53,6 +53,9 @@
     Version registry; ///< In force on the host.
     bool leaving = false;
     bool lost = false; ///< Its running calls were made undetermined.
+    bool entry = true; ///< Serves callers.
+    std::optional<ControlCandidate> member; ///< Its control member.
+    TimePoint heard;
 };
 
 /** Who waits for a proposed command. */
@@ -109,6 +112,7 @@
     LogReplica replica;
     Cluster cluster;
     std::optional<Leadership> leadership;
+    int votersWanted = 0; ///< Members are replaced until so many vote; 0: only by operators.
     TimePoint now; ///< Time of the last event.
 };
 
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -30,6 +30,9 @@
 /** Promotes a learner that has caught up. */
 void continueMemberChange(Control &control, ControlEffects &effects, TimePoint now);
 
+/** Lets reporting control members take part and replaces those that are gone. */
+void maintainMembers(Control &control, ControlEffects &effects, TimePoint now);
+
 /** @return Cluster time by the leader's estimate. */
 Duration clusterTime(const Control &control, TimePoint now);
 
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -291,6 +291,8 @@
         if (outcome == AnnounceOutcome::Restarted || outcome == AnnounceOutcome::Changed)
             leadership.placementDue = std::min(leadership.placementDue, now);
     }
+    for (const TargetId &target : report.targetsLeft)
+        noteLeft(leadership.registry, target);
     for (const auto &[id, start] : report.alive) {
         const auto entry = leadership.registry.targets.find(id);
         if (entry != leadership.registry.targets.end() && entry->second.announcement.start == start)
@@ -322,6 +324,9 @@
     host.registry = report.registry;
     host.leaving = report.leaving;
     host.lost = false;
+    host.entry = report.entry;
+    host.member = report.member;
+    host.heard = now;
 }
 
 void addDeltas(const Control &control, const HostReport &report, HostGrant &grant, TimePoint now)
@@ -348,6 +353,20 @@
     }
 }
 
+/** Tells a host how many there are, so that each takes its part of what is shared evenly. */
+void countHosts(const Leadership &leadership, const HostId &receiver, HostGrant &grant,
+                TimePoint now)
+{
+    grant.hostCount = 0;
+    for (const auto &[id, host] : leadership.hosts) {
+        if (!host.entry || now >= host.leaseEnds)
+            continue;
+        grant.hostRank += id < receiver ? 1 : 0;
+        ++grant.hostCount;
+    }
+    grant.hostCount = std::max(grant.hostCount, 1);
+}
+
 /** Asks the other hosts for unspent budgets of accounts that ran short here. */
 void recallBudgets(const Control &control, const HostReport &report, ControlEffects &effects)
 {
@@ -421,6 +440,7 @@
     recallBudgets(control, report, effects);
     grantSlots(control, report, grant, now);
     addDeltas(control, report, grant, now);
+    countHosts(leadership, report.holder.host, grant, now);
     effects.toHosts.push_back({report.holder, std::move(grant)});
 }
 
--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -165,6 +165,10 @@
             if constexpr (std::is_same_v<Body, StatusQuery>)
                 answer(call, Errc::Ok, body.full ? dump(control, now) : statusOf(control, now),
                        effects);
+            else if constexpr (std::is_same_v<Body, ConfigQuery>)
+                answer(call, control.cluster.number.value == 0 ? Errc::NotFound : Errc::Ok,
+                       {{"number", control.cluster.number}, {"document", control.cluster.document}},
+                       effects);
             else if constexpr (std::is_same_v<Body, ChangeMember>)
                 changeMember(control, call, body, effects, now);
             else
--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -2,13 +2,17 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 #include <nlohmann/json.hpp>
 
 namespace bilberry {
 
 using Duration = std::chrono::microseconds;
 
-/** Clock of one process: monotonic, with no relation to other processes' clocks. */
+/**
+ * Clock of one process: monotonic, with no relation to other processes' clocks. It counts the time
+ * in which the machine was suspended, so that leases run out meanwhile.
+ */
 struct MonotonicClock
 {
     using rep = Duration::rep;
@@ -20,8 +24,10 @@
     /** @return Present time; only duties with a thread call this. */
     static time_point now()
     {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
         return time_point(std::chrono::duration_cast<Duration>(
-            std::chrono::steady_clock::now().time_since_epoch()));
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
     }
 };
 
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -56,6 +56,7 @@
     if (!control)
         return control.error();
     duty->control = std::move(control).value();
+    duty->control.votersWanted = settings.voters;
     ControlDuty *self = duty.get();
     BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
                           return self->takeFrame(std::move(frame));
--- a/src/daemon/host_duty.cpp
+++ b/src/daemon/host_duty.cpp
@@ -1,6 +1,7 @@
 /** @file host_duty.cpp Threads of every daemon. */
 #include "daemon/host_duty_base.h"
 
+#include "config/settings_func.h"
 #include "core/log_func.h"
 
 #include <absl/strings/str_cat.h>
@@ -56,20 +57,24 @@
 
 } // namespace
 
-HostDuty::HostDuty(const Settings &settings)
+HostDuty::HostDuty(const Settings &settings, const Edge &edge)
     : settings(settings)
+    , edge(edge)
     , exchanges(std::make_shared<ExchangeTable>())
     , tasks(RING_CAPACITY)
 {
     HostSettings own;
     own.holder = {settings.host, runNumber()};
     own.zone = settings.zone;
+    own.entry = settings.entry;
     own.maxWaiting = settings.maxWaiting;
+    own.freshnessLease = settings.freshnessLease;
+    own.retryBurst = settings.retryBurst;
+    own.retryShare = settings.retryShare;
     own.reportInterval = settings.reportInterval;
     own.drain = settings.drain;
     this->host = makeHost(own, MonotonicClock::now());
-    for (const auto &[id, endpoint] : settings.controlHosts)
-        this->controlAddresses.push_back(endpoint.text());
+    this->controlAddresses = controlAddressesOf(settings);
     // Hosts begin at different control hosts.
     this->nextAddress = std::hash<std::string>{}(settings.host.value);
     if (!settings.traceFile.empty()) {
@@ -78,20 +83,21 @@
     }
 }
 
-Result<std::unique_ptr<HostDuty>> HostDuty::start(const Settings &settings,
+Result<std::unique_ptr<HostDuty>> HostDuty::start(const Settings &settings, const Edge &edge,
                                                   TargetClient::OnOrderReply onOrderReply)
 {
-    std::unique_ptr<HostDuty> duty(new HostDuty(settings));
+    std::unique_ptr<HostDuty> duty(new HostDuty(settings, edge));
     HostDuty *self = duty.get();
     duty->targets = std::make_unique<TargetClient>(
-        duty->exchanges,
+        duty->exchanges, edge, settings.host.value,
         [self](AttemptEnded &&ended) { self->tasks.push(Task(HostEvent(std::move(ended)))); },
         std::move(onOrderReply));
     if (settings.entry) {
-        BOOST_OUTCOME_TRY(callers,
-                          CallerServer::start(settings, duty->exchanges, [self](HostEvent &&event) {
-                              return self->post(std::move(event));
-                          }));
+        BOOST_OUTCOME_TRY(
+            callers,
+            CallerServer::start(settings, edge, duty->exchanges, [self](HostEvent &&event) {
+                return self->post(std::move(event));
+            }));
         duty->callers = std::move(callers);
     }
     duty->thread = std::thread([self]() { self->runDecisions(); });
@@ -169,6 +175,12 @@
     return answer;
 }
 
+std::string HostDuty::uniqueName()
+{
+    const HolderId &holder = this->host.settings.holder; // Never changes.
+    return absl::StrCat(holder.host.value, "-", holder.run, "-", ++this->lastName);
+}
+
 void HostDuty::runDecisions()
 {
     TimePoint tickDue = MonotonicClock::now();
@@ -225,7 +237,7 @@
 {
     if (const auto *refusal = std::get_if<RefuseCaller>(&effect)) {
         if (const auto exchange = this->exchanges->find(refusal->request))
-            answerRefusal(*exchange, *refusal);
+            answerRefusal(*exchange, *refusal, this->edge);
     } else if (auto *replay = std::get_if<ReplayAnswer>(&effect)) {
         if (const auto exchange = this->exchanges->find(replay->request))
             exchange->begin(replay->answer.status, replay->answer.contentType,
--- a/src/daemon/host_duty_base.h
+++ b/src/daemon/host_duty_base.h
@@ -26,7 +26,7 @@
      * @param onOrderReply Gets the replies to orders that sendOrder() sent.
      * @return Errc::AddressInUse.
      */
-    static Result<std::unique_ptr<HostDuty>> start(const Settings &settings,
+    static Result<std::unique_ptr<HostDuty>> start(const Settings &settings, const Edge &edge,
                                                    TargetClient::OnOrderReply onOrderReply);
     ~HostDuty();
 
@@ -43,6 +43,8 @@
     std::string metrics();
     bool ready() const { return this->readyNow.load(); }
     bool drained() const { return this->drainedNow.load(); }
+    /** @return A name that no other call on any host returns. */
+    std::string uniqueName();
     int callersPort() const { return this->callers ? this->callers->port() : 0; }
 
     /** Begins a graceful shutdown. */
@@ -60,7 +62,7 @@
         OperatorAnswer answer;
     };
 
-    explicit HostDuty(const Settings &settings);
+    HostDuty(const Settings &settings, const Edge &edge);
 
     void runDecisions();
     /** Closes the callers' port step by step during a graceful shutdown. */
@@ -72,6 +74,7 @@
     template <class T> T inspect(std::function<T(const Host &)> read);
 
     Settings settings;
+    const Edge &edge;
     std::shared_ptr<ExchangeTable> exchanges;
     std::unique_ptr<TargetClient> targets;
     std::unique_ptr<CallerServer> callers;
@@ -85,6 +88,7 @@
     std::atomic<bool> drainedNow{false};
     absl::Mutex operatorMutex;
     std::uint64_t lastOperator = 0;
+    std::atomic<std::uint64_t> lastName{0};
     std::map<std::uint64_t, std::shared_ptr<PendingOperator>> operators;
     std::thread thread;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,8 +5,11 @@
 #include "daemon/host_duty_base.h"
 #include "daemon/operators_port_func.h"
 #include "net/http_server_base.h"
+#include "net/own_edge_func.h"
+#include "platform/edge_func.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <curl/curl.h>
@@ -40,9 +43,30 @@
     return checked.settings;
 }
 
+/** Seeds found a group together, once; each of them knows the others by their addresses. */
+Result<void> foundBySeeds(const Settings &settings)
+{
+    Membership founders;
+    for (const Endpoint &seed : settings.controlSeeds) {
+        const MemberId member(seed.text() + "#founder");
+        founders.voters.insert(member);
+        founders.addresses[member] = seed.text();
+    }
+    return Journal::create(settings.dataFolder, MemberId(settings.peers.text() + "#founder"),
+                           founders);
+}
+
+bool isSeed(const Settings &settings)
+{
+    return std::count(settings.controlSeeds.begin(), settings.controlSeeds.end(), settings.peers)
+        > 0;
+}
+
 /** Founders name each other; whoever comes later gets an identity that nobody had before. */
 Result<void> prepareDataFolder(const Settings &settings, bool found)
 {
+    if (settings.found && isSeed(settings) && !Journal::exists(settings.dataFolder))
+        return foundBySeeds(settings);
     if (found) {
         Membership founders;
         for (const auto &[host, endpoint] : settings.controlHosts) {
@@ -110,8 +134,9 @@
     }
     std::unique_ptr<ControlDuty> control;
     ControlDuty **controlSlot = new ControlDuty *(nullptr);
+    const Edge &edge = settings.edge == EdgeKind::Platform ? platformEdge() : ownEdge();
     Result<std::unique_ptr<HostDuty>> host
-        = HostDuty::start(settings, [controlSlot](OrderReplyEvent &&reply) {
+        = HostDuty::start(settings, edge, [controlSlot](OrderReplyEvent &&reply) {
               if (*controlSlot != nullptr)
                   (*controlSlot)->post(std::move(reply));
           });
@@ -125,6 +150,7 @@
             return fail("control role", started.error());
         control = std::move(started).value();
         *controlSlot = control.get();
+        sender->post(MemberNamed{{control->member().value, settings.peers.text()}});
     }
     const DaemonDuties duties{host.value().get(), control.get()};
     const auto operators = HttpServer::start(
@@ -132,11 +158,19 @@
     if (!operators)
         return fail("operators " + settings.operators.text(), operators.error());
     Result<std::unique_ptr<HttpServer>> targets = std::unique_ptr<HttpServer>();
-    if (settings.entry)
-        targets = HttpServer::start(
-            settings.targets, [duties](const HttpRequest &r) { return answerTarget(duties, r); });
+    if (!settings.targets.ip.empty())
+        targets = HttpServer::start(settings.targets, [duties, &edge](const HttpRequest &r) {
+            return edge.answerTarget(duties, r);
+        });
     if (!targets)
         return fail("targets " + settings.targets.text(), targets.error());
+    Result<std::unique_ptr<HttpServer>> readiness = std::unique_ptr<HttpServer>();
+    if (!settings.readiness.ip.empty())
+        readiness = HttpServer::start(settings.readiness, [duties, &edge](const HttpRequest &r) {
+            return edge.answerReadiness(duties, r);
+        });
+    if (!readiness)
+        return fail("readiness " + settings.readiness.text(), readiness.error());
     logChange("started",
               {{"callers", duties.host->callersPort()}, {"operators", operators.value()->port()}});
     waitForShutdown(duties);
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -33,11 +33,14 @@
     return account == nullptr ? std::optional(RefusalCode::KeyUnknown) : std::nullopt;
 }
 
-const Route *routeOf(const View &view, const std::string &path)
+/** @return The route of the caller's virtual host with the longest prefix of the path. */
+const Route *routeOf(const View &view, const CallerRequest &asked)
 {
+    const std::string &path = asked.path;
     const Route *best = nullptr;
     for (const auto &[id, route] : view.routes) {
-        const bool matches = absl::StartsWith(path, route.path)
+        const bool matches = (route.host.empty() || route.host == asked.virtualHost)
+            && absl::StartsWith(path, route.path)
             && (path.size() == route.path.size() || path[route.path.size()] == '/'
                 || route.path.back() == '/');
         if (matches && (best == nullptr || route.path.size() > best->path.size()))
@@ -85,9 +88,46 @@
     return std::nullopt;
 }
 
+/** @return The service that gets the request; requests are spread by weight over a split. */
+const std::string &serviceOf(const Route &route, const CallerRequest &asked)
+{
+    std::int64_t total = 0;
+    for (const RouteShare &share : route.split)
+        total += share.weight;
+    if (total <= 0)
+        return route.service;
+    // Neighbouring ids must not follow each other through the shares.
+    std::uint64_t mixed = asked.request.value * 0x9E3779B97F4A7C15ULL;
+    mixed ^= mixed >> 32;
+    auto left = static_cast<std::int64_t>(mixed % static_cast<std::uint64_t>(total));
+    for (const RouteShare &share : route.split) {
+        left -= share.weight;
+        if (left < 0)
+            return share.service;
+    }
+    return route.service;
+}
+
+/** A route that leads to engines names the model in the request. */
+std::optional<RefusalCode> checkRoutedModel(const Host &host, Check &check)
+{
+    const std::optional<Variant> &variant = check.request.asked.variant;
+    const auto service = host.view.services.find(check.request.group.service);
+    const bool engines = service != host.view.services.end() && service->second.memoryMb > 0;
+    if (!engines || !variant)
+        return std::nullopt;
+    if (!host.view.models.contains(variant->model))
+        return RefusalCode::UnknownModel;
+    check.request.group.variant = *variant;
+    return std::nullopt;
+}
+
 std::optional<RefusalCode> checkService(const Host &host, Check &check, TimePoint now)
 {
-    const Route *route = routeOf(host.view, check.request.asked.path);
+    // Before the first configuration nothing is known of any route.
+    if (host.view.routes.empty() && check.request.asked.byRoute)
+        return RefusalCode::Unreachable;
+    const Route *route = routeOf(host.view, check.request.asked);
     if (route == nullptr)
         return RefusalCode::UnknownRoute;
     if (!route->open) {
@@ -97,10 +137,16 @@
         if (!mayCallRoute(*account, route->id))
             return RefusalCode::Forbidden;
         check.request.account = account->id;
+        check.request.estimate
+            = check.request.asked.declaredTokens.value_or(account->tokensOfPlainCall);
     }
-    check.request.group = {{}, route->service};
+    check.request.group = {{}, serviceOf(*route, check.request.asked)};
+    if (const auto refusal = checkRoutedModel(host, check))
+        return refusal;
     check.request.workClass = route->workClass;
     check.request.repeatable = route->repeatable;
+    check.request.resumable = route->resumable;
+    check.request.mostRuns = route->attempts;
     check.request.recorded = !route->repeatable && !check.request.asked.idempotencyKey.empty();
     limitTime(check.request, route->timeLimitMs, now);
     return std::nullopt;
@@ -123,8 +169,8 @@
     else if (!isFresh(host, now))
         check.refusal = RefusalCode::Unreachable;
     else
-        check.refusal
-            = asked.variant ? checkModel(host, check, now) : checkService(host, check, now);
+        check.refusal = asked.variant && !asked.byRoute ? checkModel(host, check, now)
+                                                        : checkService(host, check, now);
     if (!check.refusal && isQuarantined(host, asked.body, now))
         check.refusal = RefusalCode::Quarantined;
     if (!check.refusal && host.requests.size() >= host.settings.maxWaiting)
@@ -133,13 +179,21 @@
 }
 
 /** @return Whether the account's budgets at this host cover the request; takes them if so. */
-bool takeBudgets(HeldAccount &held, Request &request, TimePoint now)
+bool takeBudgets(const Host &host, HeldAccount &held, Request &request, TimePoint now)
 {
     lapse(held.requests, now);
     lapse(held.tokens, now);
-    if (held.requests.balance() < 1 || held.tokens.balance() < request.estimate)
+    const auto account = host.view.accounts.find(request.account);
+    const bool known = account != host.view.accounts.end();
+    const bool limitsRequests = !known || account->second.limitsRequests;
+    const bool limitsTokens = !known || account->second.limitsTokens;
+    if (!limitsRequests && !limitsTokens)
+        return true;
+    if (limitsRequests && held.requests.balance() < 1)
+        return false;
+    if (limitsTokens && held.tokens.balance() < request.estimate)
         return false;
-    if (request.estimate == 0 && held.tokens.balance() < 0)
+    if (limitsTokens && request.estimate == 0 && held.tokens.balance() < 0)
         return false; // An overrun is repaid before new work is admitted.
     held.requests.spent += 1;
     held.tokens.spent += request.estimate;
@@ -180,7 +234,8 @@
                                        retry ? std::optional<Duration>(1s) : std::nullopt});
         return;
     }
-    noteRequest(host.retries);
+    noteRequest(host.retries[check.request.group.service], host.settings.retryShare,
+                host.settings.retryBurst / host.hostCount);
     GroupStatistics &statistics = host.groups[check.request.group];
     ++statistics.arrived;
     const RequestId id = asked.request;
@@ -202,7 +257,7 @@
     HeldAccount &held = host.accounts[account];
     while (!held.waiting.empty()) {
         Request &request = host.requests.at(held.waiting.front());
-        if (!takeBudgets(held, request, now))
+        if (!takeBudgets(host, held, request, now))
             break;
         held.waiting.pop_front();
         proceed(host, request, effects, now);
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-constexpr int MAX_ATTEMPTS = 3;
+constexpr Duration DECLINED_PAUSE_LEAST = 100ms; ///< After a target refused a group.
+constexpr int DECLINED_DOUBLINGS = 4;
 constexpr int MAX_RESUMES = 2;
+constexpr int MOST_UNSENT = 10; ///< Attempts of one request, refused and unsent ones included.
 constexpr double SMOOTHING = 0.2;
 constexpr std::size_t MAX_SUSPECTS = 1'000;
 
@@ -60,9 +62,13 @@
     case AttemptResult::Answered:
         noteOutcome(target.health, ended.status < 500, now);
         target.succeeded += sameStart ? 1 : 0;
+        target.declinedInRow = 0;
         return;
     case AttemptResult::Refused:
         target.overloaded += sameStart ? 1 : 0;
+        target.declinedUntil[request.group] = now
+            + DECLINED_PAUSE_LEAST * (1 << std::min(target.declinedInRow, DECLINED_DOUBLINGS));
+        ++target.declinedInRow;
         return;
     case AttemptResult::Cancelled:
         return;
@@ -90,8 +96,9 @@
     const bool broken
         = ended.result == AttemptResult::Lost || ended.result == AttemptResult::Stalled;
     const auto target = host.targets.find(request.target);
-    return broken && ended.eventsRelayed > 0 && request.attempts <= MAX_RESUMES
-        && target != host.targets.end() && target->second.announcement.start == request.targetStart
+    return broken && !request.asked.byRoute && ended.eventsRelayed > 0
+        && request.attempts <= MAX_RESUMES && target != host.targets.end()
+        && target->second.announcement.start == request.targetStart
         && now < request.deadline - ANSWER_MARGIN;
 }
 
@@ -121,16 +128,19 @@
 /** @return Whether another attempt may be made. */
 bool mayRetry(Host &host, const Request &request, const AttemptEnded &ended, TimePoint now)
 {
-    if (request.callerGone || ended.eventsRelayed > 0 || now >= request.deadline - ANSWER_MARGIN)
+    const bool over = request.callerGone || now >= request.deadline - ANSWER_MARGIN;
+    if (over || (ended.eventsRelayed > 0 && !request.resumable))
         return false;
     const bool didNotRun
         = ended.result == AttemptResult::Refused || ended.result == AttemptResult::NotSent;
-    if (!didNotRun && !request.repeatable)
+    if (!didNotRun && !request.repeatable && !request.resumable)
         return false;
-    // A refusal before running costs the target little, so it does not use up attempts.
-    if (ended.result == AttemptResult::Refused)
-        return true;
-    return request.attempts < MAX_ATTEMPTS && takeRetry(host.retries);
+    // What never reached a target burdens nobody, and a refusal does not use up a run.
+    if (ended.result == AttemptResult::NotSent)
+        return request.attempts < MOST_UNSENT;
+    if (!didNotRun && request.runs >= request.mostRuns)
+        return false;
+    return takeRetry(host.retries[request.group.service]);
 }
 
 void requeue(Host &host, Request &request, HostEffects &effects, TimePoint now)
@@ -173,10 +183,11 @@
     host.attempts.erase(attempt);
     Request &request = host.requests.at(id);
     noteTarget(host, request, ended, effects, now);
-    request.eventsRelayed = ended.eventsRelayed;
+    request.eventsRelayed = std::max(request.eventsRelayed, ended.eventsRelayed);
     const bool didNotRun
         = ended.result == AttemptResult::Refused || ended.result == AttemptResult::NotSent;
     request.maySent = request.maySent || !didNotRun;
+    request.runs += didNotRun ? 0 : 1;
     if (ended.result == AttemptResult::Answered) {
         complete(host, request, ended, effects, now);
         return;
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr std::size_t COLD_HOSTS = 4; ///< Hosts that send to one cold target.
 constexpr double BULK_SHARE = 0.75; ///< Of a target's held slots that bulk work may take.
 constexpr Duration FIRST_BYTE_LIMIT = 20s; ///< Of a model whose service time is not known yet.
 constexpr Duration SERVICE_FIRST_BYTE_LIMIT = 5s;
@@ -23,11 +24,13 @@
 
 bool servesPresentVersion(const Host &host, const KnownTarget &target, const WorkGroup &group)
 {
-    if (!group.service.empty())
+    if (group.variant.model.value.empty())
         return true;
     const auto model = host.view.models.find(group.variant.model);
     if (model == host.view.models.end())
         return false;
+    if (model->second.version.value == 0)
+        return true;
     const auto &loaded = target.announcement.loaded;
     const bool current = std::any_of(loaded.begin(), loaded.end(), [&](const LoadedVariant &item) {
         return item.variant == group.variant && item.version == model->second.version;
@@ -46,6 +49,9 @@
 
 bool isOpen(const Host &host, const KnownTarget &target, const WorkGroup &group, TimePoint now)
 {
+    const auto declined = target.declinedUntil.find(group);
+    if (declined != target.declinedUntil.end() && now < declined->second)
+        return false;
     return !target.announcement.leaving && now >= target.health.ejectedUntil
         && acceptsWork(host.view, target.announcement.id, target.announcement.zone)
         && servesPresentVersion(host, target, group);
@@ -59,6 +65,27 @@
         }));
 }
 
+/** A cold target bears few requests a second; few hosts share them, in turns among the targets. */
+bool mayBeginCold(const Host &host, const KnownTarget &target, TimePoint now)
+{
+    if (now >= target.coldUntil)
+        return true;
+    const std::size_t offset = std::hash<std::string>{}(target.announcement.id.value);
+    const auto hosts = static_cast<std::size_t>(host.hostCount);
+    const std::size_t place = (static_cast<std::size_t>(host.hostRank) + offset) % hosts;
+    return place < COLD_HOSTS && now >= target.coldStartDue;
+}
+
+/** @return Time between two requests that this host begins at a cold target. */
+Duration coldStartPause(const Host &host, const KnownTarget &target)
+{
+    const auto service = host.view.services.find(target.announcement.service);
+    if (service == host.view.services.end() || service->second.coldStartsPerSecond <= 0)
+        return Duration::zero();
+    const double sharers = std::min<double>(COLD_HOSTS, host.hostCount);
+    return fromSeconds(sharers / service->second.coldStartsPerSecond);
+}
+
 bool hasSlot(const Host &host, const KnownTarget &target, const Request &request)
 {
     // Slots above the share go back as they come free instead of being used on.
@@ -93,7 +120,7 @@
         if (now >= target.slots.expires && target.freeSlots() > 0)
             target.slots.returned += target.freeSlots(); // Lapsed: the leader counts it as gone.
         if (!isOpen(host, target, request.group, now) || !hasSlot(host, target, request)
-            || !suspectsApart(host, target, request))
+            || !mayBeginCold(host, target, now) || !suspectsApart(host, target, request))
             continue;
         Candidate candidate;
         candidate.target = id;
@@ -109,7 +136,10 @@
 
 Duration firstByteLimit(const Host &host, const Request &request)
 {
-    if (!request.group.service.empty())
+    // Where a repeat is not allowed, giving up early would gain nothing.
+    if (request.asked.byRoute && !request.repeatable)
+        return request.deadline - request.arrived;
+    if (request.group.variant.model.value.empty())
         return SERVICE_FIRST_BYTE_LIMIT;
     const auto statistics = host.groups.find(request.group);
     const bool known = statistics != host.groups.end() && statistics->second.serviceSeconds > 0;
@@ -170,6 +200,8 @@
     target.running.insert(id);
     target.peak = std::max(target.peak, static_cast<double>(target.running.size()));
     target.lastUse = now;
+    if (now < target.coldUntil)
+        target.coldStartDue = now + coldStartPause(host, target);
     request.suspected = request.suspected || host.suspects.contains(request.asked.body);
     noteDispatch(host.groups[request.group], waitingIn(host.queue, request.group) > 0, now);
     StartAttempt start;
@@ -179,10 +211,13 @@
     start.address = target.announcement.address;
     start.remaining = request.deadline - now;
     start.firstByteLimit = firstByteLimit(host, request);
-    start.interByteLimit = INTER_BYTE_LIMIT;
+    start.interByteLimit
+        = request.asked.byRoute ? request.deadline - request.arrived : INTER_BYTE_LIMIT;
     start.freshConnection = !request.repeatable || request.attempts > 1;
     start.keepAnswer = request.recordOwned;
     start.correlation = request.correlation;
+    start.resumeAfter = request.eventsRelayed;
+    start.account = request.account;
     effects.push_back(start);
 }
 
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -22,14 +22,24 @@
 void onTargetAnnounced(Host &host, const TargetAnnouncement &announcement, TimePoint now)
 {
     LocalTarget &local = host.local[announcement.id];
-    if (announcement.start < local.announcement.start)
+    const bool late = announcement.start < local.announcement.start
+        || (announcement.start == local.announcement.start
+            && announcement.sequence < local.announcement.sequence);
+    if (late)
         return;
-    local.changed = local.changed || local.announcement != announcement;
+    local.changed = local.changed || !sameContent(local.announcement, announcement);
     local.announcement = announcement;
     local.heard = now;
     host.reportWanted = host.reportWanted || local.changed;
 }
 
+/** A target that has left may have announced itself at another host. */
+void onTargetLeft(Host &host, const TargetId &target)
+{
+    host.targetsLeft.push_back(target);
+    host.reportWanted = true;
+}
+
 void onOperatorRequest(Host &host, const OperatorRequest &request, HostEffects &effects)
 {
     const OperatorCall call{host.settings.holder, request.id, request.dryRun, request.body};
@@ -85,6 +95,10 @@
         onOperatorRequest(host, *request, effects);
     else if (std::holds_alternative<ShutdownEvent>(event))
         onShutdown(host, now);
+    else if (const auto *named = std::get_if<MemberNamed>(&event))
+        host.settings.member = named->member;
+    else if (const auto *left = std::get_if<TargetLeft>(&event))
+        onTargetLeft(host, left->target);
     sweepDeadlines(host, effects, now);
     dispatchAll(host, effects, now);
     if (std::holds_alternative<TickEvent>(event)) {
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -18,12 +18,18 @@
 {
     HolderId holder;
     ZoneId zone;
+    bool entry = true; ///< Serves callers.
+    std::optional<ControlCandidate> member; ///< Own control member, if the role is set.
     std::size_t maxWaiting = 10'000;
+    double retryBurst = 50; ///< Retries of all hosts beyond their share of the requests.
+    double retryShare = 0.2; ///< Retries of all hosts per request.
     Duration reportInterval = 250ms;
     Duration drain = 5s;
+    Duration freshnessLease = FRESHNESS_LEASE; ///< Without contact, shared state counts this long.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostSettings, holder, zone, maxWaiting,
-                                                reportInterval, drain)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostSettings, holder, zone, entry, member,
+                                                maxWaiting, retryBurst, retryShare, reportInterval,
+                                                drain, freshnessLease)
 
 enum class RequestState {
     WaitingBudget,
@@ -60,7 +66,10 @@
     AttemptId correlation; ///< Of the attempt whose stream the caller reads.
     TargetId target;
     StartNumber targetStart;
-    int attempts = 0;
+    int attempts = 0; ///< All that were started.
+    int runs = 0; ///< Attempts that may have run at their target.
+    int mostRuns = 3; ///< Most targets that may run it.
+    bool resumable = false; ///< Another target may continue its stream.
     std::set<TargetId> tried;
     bool maySent = false; ///< A byte may have reached a target that has not said otherwise.
     bool callerGone = false;
@@ -71,8 +80,8 @@
                                                 repeatable, recorded, recordOwned, state, estimate,
                                                 charged, arrived, deadline, queuedAt, dispatchedAt,
                                                 attempt, correlation, target, targetStart, attempts,
-                                                tried, maySent, callerGone, eventsRelayed,
-                                                suspected)
+                                                runs, mostRuns, resumable, tried, maySent,
+                                                callerGone, eventsRelayed, suspected)
 
 /** Budgets of one account at this host. */
 struct HeldAccount
@@ -107,6 +116,10 @@
     std::int64_t overloaded = 0;
     TargetHealth health;
     TimePoint lastUse;
+    TimePoint coldUntil; ///< Until then only few requests may begin.
+    TimePoint coldStartDue; ///< When this host may begin the next one while it is cold.
+    std::map<WorkGroup, TimePoint> declinedUntil; ///< After it said that it lacks the variant.
+    int declinedInRow = 0;
 
     /** @return Slots that may be taken now. */
     std::int64_t freeSlots() const
@@ -117,7 +130,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(KnownTarget, announcement, slots, running,
                                                 cancelling, peak, limit, share, succeeded,
-                                                overloaded, health, lastUse)
+                                                overloaded, health, lastUse, coldUntil,
+                                                coldStartDue, declinedUntil, declinedInRow)
 
 /** A target that announces itself at this host. */
 struct LocalTarget
@@ -183,7 +197,9 @@
     FairQueue queue;
     std::map<AccountId, HeldAccount> accounts;
     std::map<WorkGroup, GroupStatistics> groups;
-    RetryBudget retries;
+    std::map<std::string, RetryBudget> retries; ///< By service.
+    int hostCount = 1; ///< Live hosts that serve callers.
+    int hostRank = 0; ///< Own place among them.
     std::map<std::uint64_t, std::set<TargetId>> prefixes; ///< Cache hints, bounded.
     std::deque<std::uint64_t> prefixOrder;
     std::set<Digest> suspects; ///< Requests that ran on targets that were lost, at any host.
@@ -192,6 +208,7 @@
     std::map<TargetId, LocalTarget> local;
     std::map<RequestId, CallReport> callReports; ///< Until acknowledged.
     std::map<std::uint64_t, OperatorCall> operatorCalls; ///< Until answered.
+    std::vector<TargetId> targetsLeft; ///< Until reported.
     std::vector<CrashSuspicion> suspicions; ///< Until reported.
     std::vector<Digest> cleared; ///< Until reported.
 
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -23,16 +23,21 @@
     RequestId request;
     std::optional<PresentedKey> key;
     std::string path;
-    std::optional<Variant> variant; ///< For the model paths.
+    std::string virtualHost; ///< Host that the caller named, without a port.
+    bool byRoute = false; ///< Routes lead to the engines too; else only the model paths do.
+    std::optional<Variant> variant; ///< Model and adapter that are asked for.
     Digest body; ///< Of path and body.
     std::uint64_t prefix = 0; ///< Hash of the prompt's beginning; 0: none.
     std::int64_t maxTokens = 0; ///< Most tokens that the caller lets the engine generate.
+    std::optional<std::int64_t> declaredTokens; ///< Read and generated ones, as the caller says.
+    std::string tag; ///< Caller's own id of the request, for logs.
     bool streamed = false;
     std::optional<Duration> timeLimit; ///< Caller's own.
     std::string idempotencyKey; ///< Empty: none.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallerRequest, request, key, path, variant, body,
-                                                prefix, maxTokens, streamed, timeLimit,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallerRequest, request, key, path, virtualHost,
+                                                byRoute, variant, body, prefix, maxTokens,
+                                                declaredTokens, tag, streamed, timeLimit,
                                                 idempotencyKey)
 
 /** The caller's connection has closed. */
@@ -131,9 +136,23 @@
 }
 inline void from_json(const nlohmann::json &, ShutdownEvent &) { }
 
-using HostEvent
-    = std::variant<CallerRequest, CallerGone, AttemptEnded, ControlMessageEvent, ControlLinkEvent,
-                   TargetAnnounced, CacheHint, OperatorRequest, TickEvent, ShutdownEvent>;
+/** A target said that it is about to end. */
+struct TargetLeft
+{
+    TargetId target;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetLeft, target)
+
+/** The daemon's own control member is known by name. */
+struct MemberNamed
+{
+    ControlCandidate member;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MemberNamed, member)
+
+using HostEvent = std::variant<CallerRequest, CallerGone, AttemptEnded, ControlMessageEvent,
+                               ControlLinkEvent, TargetAnnounced, CacheHint, OperatorRequest,
+                               TickEvent, ShutdownEvent, MemberNamed, TargetLeft>;
 
 /** Whether a refused request can have had effects. */
 enum class Execution {
@@ -176,11 +195,12 @@
     bool keepAnswer = false; ///< The answer is to be stored.
     AttemptId correlation; ///< Differs from @c attempt when a stream is resumed.
     std::int64_t resumeAfter = 0; ///< Stream events that the caller already has.
+    AccountId account; ///< Whose request it is; empty on open routes.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
                                                 remaining, firstByteLimit, interByteLimit,
                                                 freshConnection, keepAnswer, correlation,
-                                                resumeAfter)
+                                                resumeAfter, account)
 
 struct CancelAttempt
 {
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -115,7 +115,7 @@
         return used({{}, announcement.service});
     return std::any_of(announcement.loaded.begin(), announcement.loaded.end(),
                        [&](const LoadedVariant &loaded) {
-                           return used({loaded.variant, ""});
+                           return used({loaded.variant, announcement.service});
                        });
 }
 
@@ -248,6 +248,8 @@
     report.membershipIndex = host.membershipIndex;
     report.suspectsVersion = host.suspectsVersion;
     report.leaving = host.leaving;
+    report.entry = host.settings.entry;
+    report.member = host.settings.member;
     reportAccounts(host, report, periodic, now);
     auto spread = spreadWaiting(host, now);
     for (auto &[id, target] : host.targets)
@@ -256,6 +258,8 @@
     reportLocalTargets(host, report, now);
     report.suspicions = std::move(host.suspicions);
     report.cleared = std::move(host.cleared);
+    report.targetsLeft = std::move(host.targetsLeft);
+    host.targetsLeft.clear();
     host.suspicions.clear();
     host.cleared.clear();
     host.grantAwaited = true;
@@ -297,7 +301,7 @@
     if (announcement.kind == TargetKind::Service)
         host.serving[{{}, announcement.service}].insert(announcement.id);
     for (const LoadedVariant &loaded : announcement.loaded)
-        host.serving[{loaded.variant, ""}].insert(announcement.id);
+        host.serving[{loaded.variant, announcement.service}].insert(announcement.id);
 }
 
 void dropTarget(Host &host, const TargetId &id)
@@ -328,11 +332,13 @@
         if (target.announcement.start != announcement.start)
             target = {};
         target.announcement = announcement;
+        target.declinedUntil.clear();
+        if (announcement.coldFor > Duration::zero())
+            target.coldUntil = now + announcement.coldFor;
         index(host, announcement);
     }
     host.registryEpoch = delta.epoch;
     host.registry = delta.version;
-    (void)now;
 }
 
 void takeGrants(Host &host, const HostGrant &grant, TimePoint now)
@@ -389,7 +395,9 @@
     host.suspectsVersion = grant.suspectsVersion;
     host.clock = grant.clock;
     host.clockAt = now;
-    host.freshUntil = std::max(host.freshUntil, grant.sentAt + FRESHNESS_LEASE);
+    host.hostCount = std::max(grant.hostCount, 1);
+    host.hostRank = grant.hostRank;
+    host.freshUntil = std::max(host.freshUntil, grant.sentAt + host.settings.freshnessLease);
     if (grant.membershipIndex != host.membershipIndex && !grant.controlHosts.empty()) {
         host.membershipIndex = grant.membershipIndex;
         effects.push_back(SwitchControl{"", grant.controlHosts});
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -79,6 +79,14 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CrashSuspicion, request, target, start, alone)
 
+/** A control member that may vote, as its daemon reports it. */
+struct ControlCandidate
+{
+    std::string member; ///< Member id.
+    std::string address; ///< "ip:port" of its peers' port.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ControlCandidate, member, address)
+
 /** Periodic report; also a request for everything the host lacks. */
 struct HostReport
 {
@@ -93,19 +101,23 @@
     std::uint64_t membershipIndex = 0; ///< Of the control hosts that it knows.
     std::uint64_t suspectsVersion = 0; ///< Of the suspects that it knows.
     bool leaving = false; ///< Shutting down: everything is handed back.
+    bool entry = true; ///< Serves callers.
+    std::optional<ControlCandidate> member;
     std::vector<AccountUse> accounts;
     std::vector<SlotUse> slots;
     std::vector<VariantUse> variants;
     std::vector<TargetAnnouncement> targets; ///< Changed announcements.
     std::vector<std::pair<TargetId, StartNumber>>
         alive; ///< Unchanged targets heard since the last report.
+    std::vector<TargetId> targetsLeft; ///< Said that they end.
     std::vector<CrashSuspicion> suspicions;
     std::vector<Digest> cleared; ///< Suspected requests that ran to their end.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostReport, holder, zone, sequence, sentAt, term,
                                                 table, registryEpoch, registry, membershipIndex,
-                                                suspectsVersion, leaving, accounts, slots, variants,
-                                                targets, alive, suspicions, cleared)
+                                                suspectsVersion, leaving, entry, member, accounts,
+                                                slots, variants, targets, alive, targetsLeft,
+                                                suspicions, cleared)
 
 /** Asks to record a call before its dispatch, or to learn its outcome. */
 struct CallQuestion
@@ -144,8 +156,18 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ChangeMember, add, addAddress, remove)
 
+/** Reads the configuration that is surely the newest one accepted by replacement. */
+struct ConfigQuery
+{
+};
+inline void to_json(nlohmann::json &j, const ConfigQuery &)
+{
+    j = nlohmann::json::object();
+}
+inline void from_json(const nlohmann::json &, ConfigQuery &) { }
+
 using OperatorBody = std::variant<ApplyConfig, GrantKey, WithdrawKey, SetZone, SetTargetLeaving,
-                                  StatusQuery, ChangeMember>;
+                                  StatusQuery, ChangeMember, ReplaceConfig, ConfigQuery>;
 
 /** An operator's request, passed on by any host. */
 struct OperatorCall
@@ -200,10 +222,13 @@
     std::vector<Digest>
         suspects; ///< Requests that ran on lost targets; with another version or term.
     std::vector<TargetId> unknownTargets; ///< Reported alive, but to be announced in full.
+    int hostCount = 1; ///< Live hosts that serve callers.
+    int hostRank = 0; ///< Place of the receiver among them.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostGrant, sequence, sentAt, term, table, registry,
                                                 accounts, slots, membershipIndex, controlHosts,
-                                                clock, suspectsVersion, suspects, unknownTargets)
+                                                clock, suspectsVersion, suspects, unknownTargets,
+                                                hostCount, hostRank)
 
 /** Verdict on a call, or its outcome for a joined request. */
 struct CallAnswer
--- a/src/net/caller_parse.cpp
+++ b/src/net/caller_parse.cpp
@@ -1,5 +1,5 @@
-/** @file caller_parse.cpp Reads a caller's request into an event. */
-#include "net/caller_parse_func.h"
+/** @file caller_parse.cpp Reads a caller's request of the own interface into an event. */
+#include "net/own_edge_func.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -113,30 +113,36 @@
 {
     ParsedRequest out;
     out.event.request = id;
-    out.event.path = raw.path;
-    const std::string secret = readKey(raw.authorization, out.event);
+    out.event.path = raw.target.substr(0, raw.target.find('?'));
+    const std::string secret = readKey(headerOf(raw.headers, "Authorization"), out.event);
+    const std::string idempotencyKey = headerOf(raw.headers, "Idempotency-Key");
     out.forwarded.method = raw.method;
-    out.forwarded.path = raw.query.empty() ? raw.path : absl::StrCat(raw.path, "?", raw.query);
-    out.forwarded.contentType = raw.contentType;
-    out.forwarded.accept = raw.accept;
+    out.forwarded.path = raw.target;
+    for (const char *name : {"Content-Type", "Accept"}) {
+        std::string value = headerOf(raw.headers, name);
+        if (!value.empty())
+            out.forwarded.headers.emplace_back(name, std::move(value));
+    }
     out.forwarded.body = std::move(raw.body);
     const auto leaks = [&](const std::string &text) {
         return !secret.empty() && text.find(secret) != std::string::npos;
     };
-    if (leaks(out.forwarded.body) || leaks(out.forwarded.path) || leaks(raw.contentType)
-        || leaks(raw.accept) || leaks(raw.idempotencyKey)) {
+    bool leaked = leaks(out.forwarded.body) || leaks(out.forwarded.path) || leaks(idempotencyKey);
+    for (const auto &[name, value] : out.forwarded.headers)
+        leaked = leaked || leaks(value);
+    if (leaked) {
         out.refusal = RefusalCode::KeyInBody;
         return out;
     }
-    out.refusal = checkAge(raw.idempotencyCreated, unixSeconds);
-    const bool formed = readTimeLimit(raw.timeLimitMs, out.event)
-        && raw.idempotencyKey.size() <= MAX_IDEMPOTENCY_KEY_BYTES
-        && (!isModelPath(raw.path) || (raw.method == "POST" && readModelBody(out)));
+    out.refusal = checkAge(headerOf(raw.headers, "Idempotency-Created"), unixSeconds);
+    const bool formed = readTimeLimit(headerOf(raw.headers, "X-Time-Limit-Ms"), out.event)
+        && idempotencyKey.size() <= MAX_IDEMPOTENCY_KEY_BYTES
+        && (!isModelPath(out.event.path) || (raw.method == "POST" && readModelBody(out)));
     if (!formed)
         out.refusal = RefusalCode::Malformed;
     if (out.refusal)
         return out;
-    out.event.idempotencyKey = std::move(raw.idempotencyKey);
+    out.event.idempotencyKey = idempotencyKey;
     out.event.body = digestOf({raw.method, out.forwarded.path, out.forwarded.body});
     out.forwarded.streamed = out.event.streamed;
     return out;
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -1,9 +1,10 @@
 /** @file caller_server.cpp HTTP from callers on libmicrohttpd, with suspended connections. */
 #include "net/caller_server_base.h"
 
-#include "net/caller_parse_func.h"
+#include "net/edge_type.h"
 #include "net/listen_func.h"
 
+#include <absl/strings/match.h>
 #include <atomic>
 #include <cstring>
 #include <microhttpd.h>
@@ -20,10 +21,25 @@
 constexpr Duration UPLOAD_LIMIT = 30s; ///< For the whole body; slower senders are cut off.
 constexpr std::size_t STREAM_BLOCK_BYTES = 16 << 10;
 
-std::string headerOf(MHD_Connection *connection, const char *name)
+MHD_Result collectHeader(void *list, MHD_ValueKind, const char *name, const char *value)
 {
-    const char *value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
-    return value == nullptr ? "" : value;
+    static_cast<HeaderList *>(list)->emplace_back(name, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+/** @return Whether the head leaves no doubt where the request ends and whom it is for. */
+bool isUnambiguous(const HeaderList &headers, const std::string &version)
+{
+    int lengths = 0;
+    int encodings = 0;
+    int hosts = 0;
+    for (const auto &[name, value] : headers) {
+        lengths += absl::EqualsIgnoreCase(name, "Content-Length") ? 1 : 0;
+        encodings += absl::EqualsIgnoreCase(name, "Transfer-Encoding") ? 1 : 0;
+        hosts += absl::EqualsIgnoreCase(name, "Host") ? 1 : 0;
+    }
+    const bool hostKnown = hosts == 1 || (hosts == 0 && version == "HTTP/1.0");
+    return lengths <= 1 && encodings <= 1 && lengths + encodings <= 1 && hostKnown;
 }
 
 } // namespace
@@ -37,6 +53,7 @@
         Impl *server = nullptr;
         RawRequest raw;
         bool tooLarge = false;
+        bool ambiguous = false; ///< The connection is closed after the refusal.
         TimePoint startedAt;
         std::shared_ptr<Exchange> exchange;
         std::string rawUrl;
@@ -51,13 +68,13 @@
     }
 
     static MHD_Result access(void *self, MHD_Connection *connection, const char *,
-                             const char *method, const char *, const char *upload,
+                             const char *method, const char *version, const char *upload,
                              std::size_t *uploadSize, void **state)
     {
         auto *context = static_cast<Context *>(*state);
         auto &server = *static_cast<Impl *>(self);
         if (context->server == nullptr) {
-            server.readHead(*context, connection, method);
+            server.readHead(*context, connection, method, version);
             return MHD_YES;
         }
         if (*uploadSize > 0)
@@ -67,21 +84,16 @@
         return server.reply(*context, connection);
     }
 
-    void readHead(Context &context, MHD_Connection *connection, const char *method)
+    void readHead(Context &context, MHD_Connection *connection, const char *method,
+                  const char *version)
     {
         context.server = this;
         context.startedAt = MonotonicClock::now();
-        const std::size_t mark = context.rawUrl.find('?');
         context.raw.method = method;
-        context.raw.path = context.rawUrl.substr(0, mark);
-        if (mark != std::string::npos)
-            context.raw.query = context.rawUrl.substr(mark + 1);
-        context.raw.authorization = headerOf(connection, "Authorization");
-        context.raw.contentType = headerOf(connection, "Content-Type");
-        context.raw.accept = headerOf(connection, "Accept");
-        context.raw.timeLimitMs = headerOf(connection, "X-Time-Limit-Ms");
-        context.raw.idempotencyKey = headerOf(connection, "Idempotency-Key");
-        context.raw.idempotencyCreated = headerOf(connection, "Idempotency-Created");
+        context.raw.target = std::move(context.rawUrl);
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader,
+                                  &context.raw.headers);
+        context.ambiguous = !isUnambiguous(context.raw.headers, version);
         const MHD_ConnectionInfo *info
             = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
         context.socket = info == nullptr ? -1 : info->connect_fd;
@@ -107,9 +119,11 @@
         const std::int64_t today = std::chrono::duration_cast<std::chrono::seconds>(
                                        std::chrono::system_clock::now().time_since_epoch())
                                        .count();
-        ParsedRequest parsed = parseCallerRequest(id, std::move(context.raw), today);
+        ParsedRequest parsed = this->edge.parseRequest(id, std::move(context.raw), today);
         if (context.tooLarge)
             parsed.refusal = RefusalCode::BodyTooLarge;
+        if (context.ambiguous)
+            parsed.refusal = RefusalCode::Malformed;
         context.exchange->forwarded = std::move(parsed.forwarded);
         {
             absl::MutexLock lock(&context.exchange->mutex);
@@ -123,7 +137,8 @@
         if (!taken)
             answerRefusal(*context.exchange,
                           {id, parsed.refusal.value_or(RefusalCode::Overloaded), Execution::NotRun,
-                           parsed.refusal ? std::nullopt : std::optional<Duration>(1s)});
+                           parsed.refusal ? std::nullopt : std::optional<Duration>(1s)},
+                          this->edge);
         return MHD_YES;
     }
 
@@ -158,7 +173,7 @@
             MHD_add_response_header(response, "Content-Type", exchange.contentType.c_str());
         for (const auto &[name, value] : exchange.headers)
             MHD_add_response_header(response, name.c_str(), value.c_str());
-        if (this->closing.load())
+        if (this->closing.load() || context.ambiguous)
             MHD_add_response_header(response, "Connection", "close");
         const MHD_Result queued
             = MHD_queue_response(connection, static_cast<unsigned>(exchange.status), response);
@@ -231,6 +246,12 @@
             this->onEvent(CallerGone{exchange.id});
     }
 
+    explicit Impl(const Edge &edge)
+        : edge(edge)
+    {
+    }
+
+    const Edge &edge;
     std::size_t maxBodyBytes = 0;
     std::shared_ptr<ExchangeTable> exchanges;
     OnEvent onEvent;
@@ -256,10 +277,11 @@
 }
 
 Result<std::unique_ptr<CallerServer>> CallerServer::start(const Settings &settings,
+                                                          const Edge &edge,
                                                           std::shared_ptr<ExchangeTable> exchanges,
                                                           OnEvent onEvent)
 {
-    auto impl = std::make_unique<Impl>();
+    auto impl = std::make_unique<Impl>(edge);
     impl->maxBodyBytes = settings.maxBodyBytes;
     impl->exchanges = std::move(exchanges);
     impl->onEvent = std::move(onEvent);
--- a/src/net/caller_server_base.h
+++ b/src/net/caller_server_base.h
@@ -18,8 +18,9 @@
     using OnEvent = std::function<bool(HostEvent &&)>;
 
     /** @return The server, bound but refusing connections until open(), or Errc::AddressInUse. */
-    static Result<std::unique_ptr<CallerServer>>
-    start(const Settings &settings, std::shared_ptr<ExchangeTable> exchanges, OnEvent onEvent);
+    static Result<std::unique_ptr<CallerServer>> start(const Settings &settings, const Edge &edge,
+                                                       std::shared_ptr<ExchangeTable> exchanges,
+                                                       OnEvent onEvent);
 
     ~CallerServer();
 
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -1,7 +1,9 @@
 /** @file exchange.cpp One caller's request and answer. */
 #include "net/exchange_base.h"
 
-#include <nlohmann/json.hpp>
+#include "net/edge_type.h"
+
+#include <absl/strings/match.h>
 
 namespace bilberry {
 
@@ -94,22 +96,31 @@
     return this->exchanges.size();
 }
 
-void answerRefusal(Exchange &exchange, const RefuseCaller &refusal)
+void answerRefusal(Exchange &exchange, const RefuseCaller &refusal, const Edge &edge)
 {
-    const RefusalFace &face = faceOf(refusal.code);
-    const std::string execution = nlohmann::json(refusal.execution).get<std::string>();
-    const nlohmann::json error{
-        {"error", {{"type", face.type}, {"message", face.message}, {"execution", execution}}}};
-    std::vector<std::pair<std::string, std::string>> headers{{"X-Execution", execution}};
-    if (refusal.retryAfter) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter).count();
-        headers.emplace_back("Retry-After", std::to_string(std::max<std::int64_t>(seconds, 1)));
-    }
-    if (exchange.begin(face.status, "application/json", std::move(headers), error.dump(), false))
+    EncodedAnswer answer = edge.encodeRefusal(refusal, exchange.forwarded.correlation);
+    if (exchange.begin(answer.status, std::move(answer.contentType), std::move(answer.headers),
+                       std::move(answer.body), false))
         return;
-    // The stream has begun: an error event and no end marker.
-    exchange.append("event: error\ndata: " + error.dump() + "\n\n");
+    const std::string error = edge.encodeStreamError(refusal);
+    if (!error.empty())
+        exchange.append(error);
     exchange.end(true);
 }
 
+bool sameName(std::string_view a, std::string_view b)
+{
+    return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
+                                  absl::string_view(b.data(), b.size()));
+}
+
+std::string headerOf(const HeaderList &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (sameName(key, name))
+            return value;
+    }
+    return "";
+}
+
 } // namespace bilberry
--- a/src/net/exchange_base.h
+++ b/src/net/exchange_base.h
@@ -12,13 +12,15 @@
 
 namespace bilberry {
 
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
 /** What a target needs to see of a caller's request; the key is not part of it. */
 struct ForwardedRequest
 {
     std::string method = "POST";
     std::string path; ///< With the query.
-    std::string contentType;
-    std::string accept;
+    HeaderList headers; ///< Passed on as they came.
+    std::string correlation; ///< Caller's own id of the request; empty: none.
     std::string body;
     bool streamed = false;
     WorkClass workClass = WorkClass::Interactive;
@@ -85,7 +87,9 @@
     std::map<RequestId, std::shared_ptr<Exchange>> exchanges ABSL_GUARDED_BY(mutex);
 };
 
+struct Edge;
+
 /** Ends an exchange with a typed refusal, or breaks a stream that has begun. */
-void answerRefusal(Exchange &exchange, const RefuseCaller &refusal);
+void answerRefusal(Exchange &exchange, const RefuseCaller &refusal, const Edge &edge);
 
 } // namespace bilberry
--- /dev/null
+++ b/src/net/own_edge.cpp
@@ -0,0 +1,92 @@
+/** @file own_edge.cpp The project's own interface towards callers and targets. */
+#include "net/own_edge_func.h"
+
+#include "daemon/operators_port_func.h"
+#include "net/http_server_base.h"
+
+#include <absl/strings/match.h>
+
+namespace bilberry {
+
+namespace {
+
+nlohmann::json errorBody(const RefuseCaller &refusal)
+{
+    const RefusalFace &face = faceOf(refusal.code);
+    const std::string execution = nlohmann::json(refusal.execution).get<std::string>();
+    return {{"error", {{"type", face.type}, {"message", face.message}, {"execution", execution}}}};
+}
+
+EncodedAnswer encodeRefusal(const RefuseCaller &refusal, const std::string &)
+{
+    const std::string execution = nlohmann::json(refusal.execution).get<std::string>();
+    EncodedAnswer answer;
+    answer.status = faceOf(refusal.code).status;
+    answer.contentType = "application/json";
+    answer.headers.emplace_back("X-Execution", execution);
+    answer.body = errorBody(refusal).dump();
+    if (refusal.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter).count();
+        answer.headers.emplace_back("Retry-After",
+                                    std::to_string(std::max<std::int64_t>(seconds, 1)));
+    }
+    return answer;
+}
+
+std::string encodeStreamError(const RefuseCaller &refusal)
+{
+    return "event: error\ndata: " + errorBody(refusal).dump() + "\n\n";
+}
+
+HeaderList attemptHeaders(const ForwardedRequest &forwarded, const StartAttempt &attempt)
+{
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.remaining);
+    HeaderList headers = forwarded.headers;
+    headers.emplace_back("X-Correlation-Id", std::to_string(attempt.correlation.value));
+    headers.emplace_back("X-Time-Limit-Ms", std::to_string(remaining.count()));
+    headers.emplace_back("X-Priority",
+                         forwarded.workClass == WorkClass::Bulk ? "bulk" : "interactive");
+    if (attempt.resumeAfter > 0)
+        headers.emplace_back("Last-Event-ID", std::to_string(attempt.resumeAfter));
+    return headers;
+}
+
+AnswerHead readAnswerHead(const ForwardedRequest &, const StartAttempt &attempt, int status,
+                          const HeaderList &headers)
+{
+    AnswerHead head;
+    head.own = headerOf(headers, "X-Correlation-Id") == std::to_string(attempt.correlation.value);
+    head.notRun = headerOf(headers, "X-Execution") == "not-run";
+    const std::string contentType = headerOf(headers, "Content-Type");
+    head.streamed = status == 200 && absl::StartsWith(contentType, "text/event-stream");
+    if (!contentType.empty())
+        head.relayed.emplace_back("Content-Type", contentType);
+    return head;
+}
+
+std::optional<std::int64_t> eventNumber(std::string_view)
+{
+    return std::nullopt; // Events have no numbers of their own: they are counted.
+}
+
+EncodedOrder encodeOrder(const Order &order, const std::string &)
+{
+    return {"/orders", {{"Content-Type", "application/json"}}, nlohmann::json(order).dump()};
+}
+
+HttpReply answerReadiness(const DaemonDuties &duties, const HttpRequest &request)
+{
+    return answerOperator(duties, request);
+}
+
+} // namespace
+
+const Edge &ownEdge()
+{
+    static const Edge edge{
+        &parseCallerRequest, &encodeRefusal, &encodeStreamError, &attemptHeaders, &readAnswerHead,
+        AnswerEnd::Marked,   &eventNumber,   &encodeOrder,       &answerTarget,   &answerReadiness};
+    return edge;
+}
+
+} // namespace bilberry
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -55,9 +55,11 @@
 class TargetClient::Impl
 {
 public:
-    Impl(std::shared_ptr<ExchangeTable> exchanges, OnAttemptEnded onAttemptEnded,
-         OnOrderReply onOrderReply)
+    Impl(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
+         OnAttemptEnded onAttemptEnded, OnOrderReply onOrderReply)
         : exchanges(std::move(exchanges))
+        , edge(edge)
+        , holder(std::move(holder))
         , onAttemptEnded(std::move(onAttemptEnded))
         , onOrderReply(std::move(onOrderReply))
         , ring(RING_CAPACITY)
@@ -116,7 +118,7 @@
             return;
         }
         const TimePoint now = MonotonicClock::now();
-        auto transfer = std::make_unique<Transfer>(attempt, std::move(exchange), now);
+        auto transfer = std::make_unique<Transfer>(attempt, std::move(exchange), this->edge, now);
         const AttemptId id = attempt.attempt;
         transfer->onRoom = [this, id]() { this->ring.push(Unpause{id}); };
         const auto retired = this->retiredAt.find(attempt.address);
@@ -148,10 +150,13 @@
     {
         auto transfer = std::make_unique<OrderTransfer>();
         transfer->order = order;
-        transfer->body = nlohmann::json(order.order).dump();
+        EncodedOrder encoded = this->edge.encodeOrder(order.order, this->holder);
+        transfer->body = std::move(encoded.body);
         transfer->easy = curl_easy_init();
-        transfer->headers = curl_slist_append(nullptr, "Content-Type: application/json");
-        const std::string url = absl::StrCat("http://", order.address, "/orders");
+        for (const auto &[name, value] : encoded.headers)
+            transfer->headers
+                = curl_slist_append(transfer->headers, absl::StrCat(name, ": ", value).c_str());
+        const std::string url = absl::StrCat("http://", order.address, encoded.path);
         curl_easy_setopt(transfer->easy, CURLOPT_URL, url.c_str());
         curl_easy_setopt(transfer->easy, CURLOPT_PROXY, "");
         curl_easy_setopt(transfer->easy, CURLOPT_NOSIGNAL, 1L);
@@ -232,6 +237,8 @@
     }
 
     std::shared_ptr<ExchangeTable> exchanges;
+    const Edge &edge;
+    const std::string holder;
     OnAttemptEnded onAttemptEnded;
     OnOrderReply onOrderReply;
     BoundedRing<Task> ring;
@@ -242,10 +249,11 @@
     std::thread thread;
 };
 
-TargetClient::TargetClient(std::shared_ptr<ExchangeTable> exchanges, OnAttemptEnded onAttemptEnded,
+TargetClient::TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge,
+                           std::string holder, OnAttemptEnded onAttemptEnded,
                            OnOrderReply onOrderReply)
-    : impl(std::make_unique<Impl>(std::move(exchanges), std::move(onAttemptEnded),
-                                  std::move(onOrderReply)))
+    : impl(std::make_unique<Impl>(std::move(exchanges), edge, std::move(holder),
+                                  std::move(onAttemptEnded), std::move(onOrderReply)))
 {
 }
 
--- a/src/net/target_client_base.h
+++ b/src/net/target_client_base.h
@@ -3,6 +3,7 @@
 
 #include "control/control_type.h"
 #include "core/bounded_ring.h"
+#include "net/edge_type.h"
 #include "net/exchange_base.h"
 
 #include <functional>
@@ -17,8 +18,9 @@
     using OnAttemptEnded = std::function<void(AttemptEnded &&)>;
     using OnOrderReply = std::function<void(OrderReplyEvent &&)>;
 
-    TargetClient(std::shared_ptr<ExchangeTable> exchanges, OnAttemptEnded onAttemptEnded,
-                 OnOrderReply onOrderReply);
+    /** @param holder Name under which this process gives orders. */
+    TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
+                 OnAttemptEnded onAttemptEnded, OnOrderReply onOrderReply);
     ~TargetClient();
     TargetClient(const TargetClient &) = delete;
     TargetClient &operator=(const TargetClient &) = delete;
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -15,52 +15,83 @@
 
 curl_slist *addHeader(curl_slist *list, const std::string &name, const std::string &value)
 {
-    return value.empty() ? list : curl_slist_append(list, (name + ": " + value).c_str());
+    // The library takes a header without a value for a request to leave it out.
+    const std::string line = value.empty() ? name + ";" : name + ": " + value;
+    return curl_slist_append(list, line.c_str());
+}
+
+curl_slist *makeHeaders(const HeaderList &headers)
+{
+    curl_slist *list = nullptr;
+    for (const auto &[name, value] : headers)
+        list = addHeader(list, name, value);
+    // What the library would add by itself stays out.
+    for (const char *name : {"Accept", "Content-Type", "Expect"}) {
+        if (headerOf(headers, name).empty())
+            list = curl_slist_append(list, absl::StrCat(name, ":").c_str());
+    }
+    return list;
 }
 
 } // namespace
 
-Transfer::Transfer(const StartAttempt &attempt, std::shared_ptr<Exchange> exchange, TimePoint now)
+Transfer::Transfer(const StartAttempt &attempt, std::shared_ptr<Exchange> exchange,
+                   const Edge &edge, TimePoint now)
     : attempt(attempt)
     , easy(curl_easy_init())
     , exchange(std::move(exchange))
+    , edge(edge)
     , startedAt(now)
     , lastByte(now)
     , events(attempt.resumeAfter)
 {
     const ForwardedRequest &forwarded = this->exchange->forwarded;
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.remaining);
-    curl_slist *headers = nullptr;
-    headers = addHeader(headers, "Content-Type", forwarded.contentType);
-    headers = addHeader(headers, "Accept", forwarded.accept);
-    headers = addHeader(headers, "X-Correlation-Id", std::to_string(attempt.correlation.value));
-    headers = addHeader(headers, "X-Time-Limit-Ms", std::to_string(remaining.count()));
-    headers = addHeader(headers, "X-Priority",
-                        forwarded.workClass == WorkClass::Bulk ? "bulk" : "interactive");
-    if (attempt.resumeAfter > 0)
-        headers = addHeader(headers, "Last-Event-ID", std::to_string(attempt.resumeAfter));
-    headers = curl_slist_append(headers, "Expect:");
-    this->requestHeaders = headers;
-    const std::string url = absl::StrCat("http://", attempt.address, forwarded.path);
+    this->requestHeaders = makeHeaders(edge.attemptHeaders(forwarded, attempt));
+    const std::string url = absl::StrCat("http://", attempt.address, "/");
     curl_easy_setopt(this->easy, CURLOPT_URL, url.c_str());
+    // The target gets the caller's bytes, not a normalized path.
+    curl_easy_setopt(this->easy, CURLOPT_REQUEST_TARGET, forwarded.path.c_str());
     curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(this->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, this->requestHeaders);
     curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-    if (!forwarded.body.empty() || forwarded.method == "POST") {
-        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(forwarded.body.size()));
-        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDS, forwarded.body.c_str());
-    }
+    this->setBody();
     curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, forwarded.method.c_str());
     curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
     curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
     curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(this->easy, CURLOPT_PRIVATE, this);
-    if (attempt.freshConnection)
+    if (forwarded.method == "HEAD")
+        curl_easy_setopt(this->easy, CURLOPT_NOBODY, 1L);
+    if (attempt.freshConnection) {
         curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+}
+
+/** The body is read by a callback that can't go back, so that the library never sends it twice. */
+void Transfer::setBody()
+{
+    const ForwardedRequest &forwarded = this->exchange->forwarded;
+    if (forwarded.body.empty() && forwarded.method != "POST")
+        return;
+    curl_easy_setopt(this->easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(forwarded.body.size()));
+    curl_easy_setopt(this->easy, CURLOPT_READFUNCTION, &Transfer::onUpload);
+    curl_easy_setopt(this->easy, CURLOPT_READDATA, this);
+}
+
+std::size_t Transfer::onUpload(char *out, std::size_t size, std::size_t count, void *self)
+{
+    auto &transfer = *static_cast<Transfer *>(self);
+    const std::string &body = transfer.exchange->forwarded.body;
+    const std::size_t bytes = std::min(size * count, body.size() - transfer.uploaded);
+    body.copy(out, bytes, transfer.uploaded);
+    transfer.uploaded += bytes;
+    return bytes;
 }
 
 Transfer::~Transfer()
@@ -102,27 +133,26 @@
         long code = 0;
         curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &code);
         this->status = static_cast<int>(code);
+        this->headers.clear(); // An interim answer may have come before.
+        this->framed = false;
         return;
     }
     const std::size_t colon = line.find(':');
     if (colon == std::string::npos)
         return;
-    const std::string name = absl::AsciiStrToLower(line.substr(0, colon));
-    const std::string value(absl::StripAsciiWhitespace(line.substr(colon + 1)));
-    if (name == "x-correlation-id")
-        this->correlation = value;
-    else if (name == "x-execution")
-        this->execution = value;
-    else if (name == "content-type")
-        this->contentType = value;
-    else if (name == "content-length" || name == "transfer-encoding")
-        this->framed = true;
-    this->streaming = absl::StartsWith(this->contentType, "text/event-stream");
+    std::string name = line.substr(0, colon);
+    std::string value(absl::StripAsciiWhitespace(line.substr(colon + 1)));
+    this->framed = this->framed || absl::EqualsIgnoreCase(name, "Content-Length")
+        || absl::EqualsIgnoreCase(name, "Transfer-Encoding");
+    this->headers.emplace_back(std::move(name), std::move(value));
 }
 
-bool Transfer::isOwnAnswer() const
+const AnswerHead &Transfer::readHead()
 {
-    return this->correlation == std::to_string(this->attempt.correlation.value);
+    if (!this->head)
+        this->head = this->edge.readAnswerHead(this->exchange->forwarded, this->attempt,
+                                               this->status, this->headers);
+    return *this->head;
 }
 
 std::size_t Transfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
@@ -131,10 +161,9 @@
     const std::size_t bytes = size * count;
     transfer.lastByte = MonotonicClock::now();
     transfer.gotByte = true;
-    const bool streams = transfer.streaming && transfer.status == 200;
-    if (!transfer.isOwnAnswer())
+    if (!transfer.readHead().own)
         return 0; // Another request's answer: ends the transfer.
-    if (!streams) {
+    if (!transfer.streams()) {
         if (transfer.body.size() + bytes > MAX_PLAIN_ANSWER_BYTES)
             return 0;
         transfer.body.append(data, bytes);
@@ -160,7 +189,7 @@
     const std::string whole = pending.substr(0, end + 2);
     const bool first = this->events == 0 && this->attempt.resumeAfter == 0;
     if (first)
-        this->exchange->begin(this->status, this->contentType, {}, "", true);
+        this->exchange->begin(this->status, "", this->readHead().relayed, "", true);
     {
         absl::MutexLock lock(&this->exchange->mutex);
         const bool full = !this->exchange->closed
@@ -172,39 +201,52 @@
         }
     }
     this->exchange->append(whole);
-    for (std::size_t at = whole.find(EVENT_END); at != std::string::npos;
-         at = whole.find(EVENT_END, at + 2))
-        ++this->events;
+    this->events = this->countEvents(whole);
     this->sawDone = this->sawDone || whole.find("data: [DONE]") != std::string::npos;
     this->body = pending.substr(end + 2);
     return true;
 }
 
-AttemptResult Transfer::classify(CURLcode code) const
+/** @return Number of the last event of @p whole, by its own word or by counting. */
+std::int64_t Transfer::countEvents(std::string_view whole) const
+{
+    std::int64_t last = this->events;
+    std::size_t begin = 0;
+    for (std::size_t end = whole.find(EVENT_END); end != std::string_view::npos;
+         end = whole.find(EVENT_END, begin)) {
+        last = this->edge.eventNumber(whole.substr(begin, end - begin)).value_or(last + 1);
+        begin = end + 2;
+    }
+    return last;
+}
+
+AttemptResult Transfer::classify(CURLcode code)
 {
     long sent = 0;
     curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &sent);
     if (this->status == 0)
         return sent == 0 ? AttemptResult::NotSent : AttemptResult::Lost;
-    if (!this->isOwnAnswer())
+    const AnswerHead &answer = this->readHead();
+    if (answer.notRun)
+        return AttemptResult::Refused;
+    if (!answer.own)
         return AttemptResult::Mismatched;
     if (code != CURLE_OK)
         return AttemptResult::Lost;
-    if (this->execution == "not-run")
-        return AttemptResult::Refused;
-    if (this->streaming && this->status == 200)
-        return this->sawDone ? AttemptResult::Answered : AttemptResult::Lost;
-    return this->framed ? AttemptResult::Answered : AttemptResult::Lost;
+    if (this->edge.answerEnd == AnswerEnd::Framed)
+        return AttemptResult::Answered;
+    const bool whole = answer.streamed ? this->sawDone : this->framed;
+    return whole ? AttemptResult::Answered : AttemptResult::Lost;
 }
 
-void Transfer::countTokens(AttemptEnded &ended) const
+void Transfer::countTokens(AttemptEnded &ended)
 {
-    if (this->streaming) {
+    if (this->streams()) {
         // One token an event; the end marker is none.
         ended.tokens = std::max<std::int64_t>(this->events - 1, 0);
         return;
     }
-    if (!absl::StartsWith(this->contentType, "application/json"))
+    if (!absl::StartsWith(headerOf(this->readHead().relayed, "Content-Type"), "application/json"))
         return;
     const nlohmann::json answer = nlohmann::json::parse(this->body, nullptr, false);
     if (!answer.is_object() || !answer.contains("usage") || !answer["usage"].is_object())
@@ -229,14 +271,27 @@
     if (ended.result != AttemptResult::Answered)
         return ended;
     this->countTokens(ended);
-    if (this->streaming && this->status == 200) {
-        this->exchange->end(false);
+    if (this->streams()) {
+        this->finishStream();
         return ended;
     }
+    const HeaderList &relayed = this->readHead().relayed;
     if (this->attempt.keepAnswer)
-        ended.answer = StoredAnswer{this->status, this->contentType, this->body, false};
-    this->exchange->begin(this->status, this->contentType, {}, std::move(this->body), false);
+        ended.answer
+            = StoredAnswer{this->status, headerOf(relayed, "Content-Type"), this->body, false};
+    this->exchange->begin(this->status, "", relayed, std::move(this->body), false);
     return ended;
 }
 
+/** Gives the caller what stands behind the last whole event, and ends the stream. */
+void Transfer::finishStream()
+{
+    const bool nothingYet = this->events == 0 && this->attempt.resumeAfter == 0;
+    if (nothingYet)
+        this->exchange->begin(this->status, "", this->readHead().relayed, "", true);
+    if (!this->body.empty())
+        this->exchange->append(this->body);
+    this->exchange->end(false);
+}
+
 } // namespace bilberry
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -1,6 +1,7 @@
 /** @file transfer_base.h One HTTP exchange with a target; only for the target duty. */
 #pragma once
 
+#include "net/edge_type.h"
 #include "net/exchange_base.h"
 
 #include <atomic>
@@ -15,7 +16,8 @@
 {
 public:
     /** Starts from an attempt; the exchange may be gone. */
-    Transfer(const StartAttempt &attempt, std::shared_ptr<Exchange> exchange, TimePoint now);
+    Transfer(const StartAttempt &attempt, std::shared_ptr<Exchange> exchange, const Edge &edge,
+             TimePoint now);
     ~Transfer();
     Transfer(const Transfer &) = delete;
     Transfer &operator=(const Transfer &) = delete;
@@ -42,22 +44,28 @@
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
     void takeHeader(std::string line);
     bool relay(std::string_view bytes);
-    bool isOwnAnswer() const;
-    AttemptResult classify(CURLcode code) const;
-    void countTokens(AttemptEnded &ended) const;
+    /** Reads the head once its last header has come. */
+    const AnswerHead &readHead();
+    bool streams() { return this->readHead().streamed; }
+    std::int64_t countEvents(std::string_view whole) const;
+    void setBody();
+    void finishStream();
+    AttemptResult classify(CURLcode code);
+    void countTokens(AttemptEnded &ended);
+    static std::size_t onUpload(char *out, std::size_t size, std::size_t count, void *self);
 
     CURL *easy;
     curl_slist *requestHeaders = nullptr;
     std::shared_ptr<Exchange> exchange;
+    const Edge &edge;
+    std::size_t uploaded = 0; ///< Bytes of the request's body.
     TimePoint startedAt;
     TimePoint lastByte;
     bool gotByte = false;
     int status = 0;
-    std::string correlation;
-    std::string execution;
-    std::string contentType;
+    HeaderList headers; ///< Of the answer.
+    std::optional<AnswerHead> head;
     bool framed = false; ///< The answer has a length or is chunked.
-    bool streaming = false;
     bool sawDone = false; ///< End marker of a stream.
     std::int64_t events = 0; ///< Relayed, over all attempts of the stream.
     std::string body; ///< Plain answer, or the beginning of an event.
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -105,6 +105,7 @@
     target.replicas.push_back(pass.replicas.size());
     target.idle.reset();
     target.freeMb -= need.memoryMb;
+    target.freeAdapters -= need.isModel() ? 0 : 1;
     ++target.orders;
     pass.replicas.push_back({&pass.newIds.back(), nullptr, replica, false});
     ++pass.counts[need.variant].present;
@@ -163,6 +164,8 @@
     for (const std::size_t i : candidates) {
         const TargetFacts &target = pass.targets[i];
         if (target.freeMb < need.memoryMb || !takesOrder(pass, target)
+            || target.announcement().service != need.service
+            || (!need.isModel() && target.freeAdapters < 1)
             || hasVariant(pass, target, need.variant))
             continue;
         int inZone = 0;
@@ -187,22 +190,28 @@
 std::optional<std::vector<std::size_t>> roomOn(Pass &pass, TargetFacts &target, const Need &need)
 {
     std::int64_t room = target.freeMb;
+    int places = need.isModel() ? 1 : target.freeAdapters;
     // Room that is on its way already is not made a second time.
     for (const std::size_t i : target.replicas) {
         const Replica &replica = pass.replicas[i].now();
-        room += replica.state == ReplicaState::Unloading ? replica.memoryMb : 0;
+        if (replica.state != ReplicaState::Unloading)
+            continue;
+        room += replica.memoryMb;
+        places += replica.variant.adapter.value.empty() ? 0 : 1;
     }
     std::vector<std::size_t> chosen;
     for (const std::size_t victim : victims(pass, target)) {
-        if (room >= need.memoryMb)
+        if (room >= need.memoryMb && places >= 1)
             break;
         const Replica &replica = pass.replicas[victim].now();
-        if (replica.variant.model == need.variant.model)
+        const bool isAdapter = !replica.variant.adapter.value.empty();
+        if (replica.variant.model == need.variant.model && (need.isModel() || !isAdapter))
             continue;
         room += replica.memoryMb;
+        places += isAdapter ? 1 : 0;
         chosen.push_back(victim);
     }
-    if (room < need.memoryMb)
+    if (room < need.memoryMb || places < 1)
         return std::nullopt;
     return chosen;
 }
@@ -221,6 +230,7 @@
         TargetFacts &target = pass.targets[i];
         const CacheTier tier = tierOf(target.announcement(), need.variant.model);
         if (!takesOrder(pass, target) || hasVariant(pass, target, need.variant)
+            || target.announcement().service != need.service
             || (onlyCached && tier == CacheTier::Remote))
             continue;
         std::optional<std::vector<std::size_t>> chosen = roomOn(pass, target, need);
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -39,6 +39,7 @@
         order.order.version = replica.version;
         order.order.memoryMb = replica.memoryMb;
         order.order.start = replica.start;
+        order.order.target = replica.target;
         order.target = replica.target;
         order.sentAt = now;
         planner.orders[id] = order;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace bilberry {
 
@@ -105,6 +106,7 @@
     Need need;
     need.variant = variant;
     need.version = model->second.version;
+    need.service = model->second.service;
     need.memoryMb = need.isModel() ? model->second.memoryMb : model->second.adapterMemoryMb;
     need.first = present == 0;
     noteWaiting(pass, variant, need);
@@ -202,7 +204,13 @@
         TargetFacts facts;
         facts.entry = &entry;
         facts.fenced = policy != input.view.targets.end() && policy->second.checksFencing;
-        facts.freeMb = announcement.memoryMb;
+        const auto service = input.view.services.find(announcement.service);
+        const bool described = service != input.view.services.end();
+        facts.freeMb = described && announcement.memoryMb == 0 ? service->second.memoryMb
+                                                               : announcement.memoryMb;
+        facts.freeAdapters = described && service->second.adapterSlots > 0
+            ? service->second.adapterSlots
+            : std::numeric_limits<int>::max();
         facts.serving = announcement.kind == TargetKind::Engine && !announcement.leaving
             && acceptsWork(input.view, id, announcement.zone);
         const std::size_t index = pass.targets.size();
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -28,6 +28,7 @@
     bool serving = false; ///< May get new replicas and its replicas count.
     bool fenced = false;
     std::int64_t freeMb = 0;
+    int freeAdapters = 0; ///< Places for further adapters.
     int orders = 0; ///< Under way, or decided and not yet sent.
     std::vector<std::size_t> replicas; ///< Indices into Pass::replicas.
     std::optional<std::vector<std::size_t>> idle; ///< Memo: may go, the one least missed first.
@@ -47,6 +48,7 @@
 {
     Variant variant;
     Version version;
+    std::string service; ///< Of the engines that may serve it.
     std::int64_t memoryMb = 0;
     TimePoint deadline = TimePoint::max();
     double charge = 0; ///< Least of the recent loads of the accounts that ask.
--- a/src/placement/reconcile.cpp
+++ b/src/placement/reconcile.cpp
@@ -13,10 +13,11 @@
 
 bool holds(const TargetAnnouncement &announcement, const Replica &replica)
 {
-    return std::any_of(
-        announcement.loaded.begin(), announcement.loaded.end(), [&](const LoadedVariant &loaded) {
-            return loaded.variant == replica.variant && loaded.version == replica.version;
-        });
+    return std::any_of(announcement.loaded.begin(), announcement.loaded.end(),
+                       [&](const LoadedVariant &loaded) {
+                           return loaded.variant == replica.variant
+                               && (replica.version.value == 0 || loaded.version == replica.version);
+                       });
 }
 
 /** What an announcement says about a replica. */
@@ -101,6 +102,15 @@
     pass.decision.put.push_back(*facts.changed);
 }
 
+/** @return Memory of a variant by the configuration; 0 if it is not declared. */
+std::int64_t memoryOf(const View &view, const Variant &variant)
+{
+    const auto model = view.models.find(variant.model);
+    if (model == view.models.end())
+        return 0;
+    return variant.adapter.value.empty() ? model->second.memoryMb : model->second.adapterMemoryMb;
+}
+
 /** Records what a target holds without a decision, so that its memory counts. */
 void adoptStrays(Pass &pass, std::size_t targetIndex)
 {
@@ -118,8 +128,12 @@
         replica.start = announcement.start;
         replica.fencing = announcement.lastOrder;
         replica.state = ReplicaState::Ready;
-        replica.version = loaded.version;
-        replica.memoryMb = loaded.memoryMb;
+        const auto model = pass.input.view.models.find(loaded.variant.model);
+        const bool anyVersion
+            = model != pass.input.view.models.end() && model->second.version.value == 0;
+        replica.version = anyVersion ? Version(0) : loaded.version;
+        replica.memoryMb
+            = loaded.memoryMb > 0 ? loaded.memoryMb : memoryOf(pass.input.view, loaded.variant);
         pass.newIds.push_back(replicaId(announcement.id, loaded.variant));
         pass.targets[targetIndex].replicas.push_back(pass.replicas.size());
         pass.replicas.push_back({&pass.newIds.back(), nullptr, replica, false});
@@ -133,6 +147,7 @@
     const Replica &replica = facts.now();
     const bool isModel = replica.variant.adapter.value.empty();
     target.freeMb -= replica.memoryMb;
+    target.freeAdapters -= isModel ? 0 : 1;
     target.orders += replica.state == ReplicaState::Ready ? 0 : 1;
     if (replica.state == ReplicaState::Loading) {
         pass.adapterLoads += isModel ? 0 : 1;
--- a/src/routing/routing_type.h
+++ b/src/routing/routing_type.h
@@ -39,16 +39,18 @@
 /** Limits retries to a share of the requests, so that a failing fleet is not flooded. */
 struct RetryBudget
 {
-    double credit = 10;
+    double credit = 1;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RetryBudget, credit)
 
-constexpr double RETRY_CREDIT_MOST = 20;
-constexpr double RETRY_CREDIT_PER_REQUEST = 0.2;
-
-inline void noteRequest(RetryBudget &budget)
+/**
+ * Notes a first attempt.
+ * @param share Retries earned by it.
+ * @param most Retries that may be saved up.
+ */
+inline void noteRequest(RetryBudget &budget, double share, double most)
 {
-    budget.credit = std::min(budget.credit + RETRY_CREDIT_PER_REQUEST, RETRY_CREDIT_MOST);
+    budget.credit = std::min(budget.credit + share, std::max(most, 1.0));
 }
 
 /** @return Whether one more retry is allowed; takes it. */
--- a/src/state/cluster_base.h
+++ b/src/state/cluster_base.h
@@ -27,13 +27,16 @@
     Duration clock{}; ///< Cluster time: grows while there is a leader.
     View view;
     FolderConfig folder; ///< Last accepted folder.
+    Version number; ///< Operator's number of the last whole replacement; 0: none.
+    std::string document; ///< Operator's text of that replacement.
     std::map<RecordKey, Version> modified; ///< Also of removed records.
     CallTable calls;
     std::deque<DecidedChange> changes; ///< Oldest first.
     FencingNumber lastFencing; ///< Highest number given out.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Cluster, version, configVersion, clock, view,
-                                                folder, modified, calls, changes, lastFencing)
+                                                folder, number, document, modified, calls, changes,
+                                                lastFencing)
 
 /** Records changed since a version. */
 struct TableDelta
--- a/src/state/cluster_cmd.cpp
+++ b/src/state/cluster_cmd.cpp
@@ -27,10 +27,14 @@
 {
     for (const auto &[id, entry] : before) {
         if (!next.contains(id))
-            putRecord(cluster, {kind, id.value}, nullptr);
+            putRecord(cluster, {kind, idText(id)}, nullptr);
+    }
+    for (const auto &[id, entry] : next) {
+        // Most entries stay as they are; comparing them is cheaper than encoding them.
+        const auto same = before.find(id);
+        if (same == before.end() || same->second != entry)
+            putRecord(cluster, {kind, idText(id)}, entry);
     }
-    for (const auto &[id, entry] : next)
-        putRecord(cluster, {kind, id.value}, entry);
 }
 
 CommandOutcome failure(Errc error, Version version = {})
@@ -48,26 +52,44 @@
     return outcome;
 }
 
-CommandOutcome execute(Cluster &cluster, const ApplyConfig &command)
+void replaceFolder(Cluster &cluster, const FolderConfig &next)
 {
-    if (command.base != cluster.configVersion)
-        return failure(Errc::VersionConflict, cluster.configVersion);
-    const FolderConfig before = cluster.folder;
-    cluster.folder = command.config;
-    putTable(cluster, RecordKind::Account, before.accounts, command.config.accounts);
-    putTable(cluster, RecordKind::Model, before.models, command.config.models);
-    putTable(cluster, RecordKind::Route, before.routes, command.config.routes);
+    const FolderConfig before = std::move(cluster.folder);
+    cluster.folder = next;
+    putTable(cluster, RecordKind::Account, before.accounts, next.accounts);
+    putTable(cluster, RecordKind::Model, before.models, next.models);
+    putTable(cluster, RecordKind::Service, before.services, next.services);
+    putTable(cluster, RecordKind::Route, before.routes, next.routes);
     for (const auto &[id, policy] : before.targets) {
-        if (!command.config.targets.contains(id))
+        if (!next.targets.contains(id))
             putRecord(cluster, {RecordKind::Target, id.value}, nullptr);
     }
-    for (auto [id, policy] : command.config.targets) {
+    for (auto [id, policy] : next.targets) {
         // Leaving is set by its own command and survives a new folder.
         const auto present = cluster.view.targets.find(id);
         policy.leaving = present != cluster.view.targets.end() && present->second.leaving;
         putRecord(cluster, {RecordKind::Target, id.value}, policy);
     }
     cluster.configVersion = Version(++cluster.version.value);
+}
+
+CommandOutcome execute(Cluster &cluster, const ApplyConfig &command)
+{
+    if (command.base != cluster.configVersion)
+        return failure(Errc::VersionConflict, cluster.configVersion);
+    replaceFolder(cluster, command.config);
+    return success(cluster);
+}
+
+CommandOutcome execute(Cluster &cluster, const ReplaceConfig &command)
+{
+    // An older or repeated number was overtaken: it is acknowledged and changes nothing.
+    if (command.number <= cluster.number)
+        return success(cluster);
+    cluster.number = command.number;
+    cluster.document = command.document;
+    putTable(cluster, RecordKind::Key, cluster.folder.keys, command.config.keys);
+    replaceFolder(cluster, command.config);
     return success(cluster);
 }
 
--- a/src/state/command_type.h
+++ b/src/state/command_type.h
@@ -17,6 +17,15 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ApplyConfig, changeId, base, config)
 
+/** Replaces the whole configuration, keys included, if the number is higher than the one held. */
+struct ReplaceConfig
+{
+    Version number; ///< Chosen by the operator; the highest one is in force.
+    std::string document; ///< The operator's own text, given back to readers as it came.
+    FolderConfig config;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReplaceConfig, number, document, config)
+
 struct GrantKey
 {
     std::string changeId;
@@ -97,7 +106,7 @@
 
 using CommandBody
     = std::variant<ApplyConfig, GrantKey, WithdrawKey, SetZone, SetTargetLeaving, BeginCall,
-                   EndCall, LoseHost, DecideReplicas, SetQuarantine, Expire>;
+                   EndCall, LoseHost, DecideReplicas, SetQuarantine, Expire, ReplaceConfig>;
 
 /** A command with the leader's estimate of cluster time. */
 struct Command
--- a/src/state/view.cpp
+++ b/src/state/view.cpp
@@ -26,22 +26,14 @@
         return use(view.zones);
     case RecordKind::Replica:
         return use(view.replicas);
+    case RecordKind::Service:
+        return use(view.services);
     case RecordKind::Quarantine:
         break;
     }
     return use(view.quarantines);
 }
 
-std::string idText(const std::string &id)
-{
-    return id;
-}
-
-template <class Tag> std::string idText(const StrongType<Tag, std::string> &id)
-{
-    return id.value;
-}
-
 } // namespace
 
 std::string replicaId(const TargetId &target, const Variant &variant)
--- a/src/state/view_base.h
+++ b/src/state/view_base.h
@@ -17,6 +17,7 @@
     Target,
     Zone,
     Replica,
+    Service,
     Quarantine,
 };
 
@@ -49,9 +50,10 @@
     std::map<TargetId, TargetPolicy> targets;
     std::map<ZoneId, ZonePolicy> zones;
     std::map<std::string, Replica> replicas; ///< By replicaId().
+    std::map<std::string, ServicePolicy> services; ///< By name.
     std::map<Digest, Quarantine> quarantines;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(View, accounts, keys, models, routes, targets,
-                                                zones, replicas, quarantines)
+                                                zones, replicas, services, quarantines)
 
 } // namespace bilberry
--- a/src/state/view_func.h
+++ b/src/state/view_func.h
@@ -5,6 +5,17 @@
 
 namespace bilberry {
 
+/** @return Text of a table's key, as it stands in a RecordKey. */
+inline std::string idText(const std::string &id)
+{
+    return id;
+}
+
+template <class Tag> std::string idText(const StrongType<Tag, std::string> &id)
+{
+    return id.value;
+}
+
 /** @return Id of a replica's record: target, model and adapter. */
 std::string replicaId(const TargetId &target, const Variant &variant);
 
--- a/src/target/registry.cpp
+++ b/src/target/registry.cpp
@@ -11,16 +11,34 @@
     if (known && announcement.start < it->second.announcement.start)
         return AnnounceOutcome::Stale;
     const bool restarted = !known || announcement.start > it->second.announcement.start;
+    if (!restarted && announcement.sequence < it->second.announcement.sequence)
+        return AnnounceOutcome::Stale;
     TargetEntry &entry = registry.targets[announcement.id];
     entry.heard = now;
-    if (!restarted && entry.announcement == announcement)
+    if (restarted)
+        entry.left = false;
+    if (entry.left)
+        return AnnounceOutcome::Unchanged;
+    if (!restarted && sameContent(entry.announcement, announcement)) {
+        entry.announcement.sequence = announcement.sequence;
         return AnnounceOutcome::Unchanged;
+    }
     entry.announcement = announcement;
     entry.modified = Version(++registry.version.value);
     registry.removed.erase(announcement.id);
     return restarted ? AnnounceOutcome::Restarted : AnnounceOutcome::Changed;
 }
 
+void noteLeft(TargetRegistry &registry, const TargetId &target)
+{
+    const auto it = registry.targets.find(target);
+    if (it == registry.targets.end() || it->second.left)
+        return;
+    it->second.left = true;
+    it->second.announcement.leaving = true;
+    it->second.modified = Version(++registry.version.value);
+}
+
 std::vector<TargetId> dropSilent(TargetRegistry &registry, TimePoint now)
 {
     std::vector<TargetId> dropped;
--- a/src/target/registry_base.h
+++ b/src/target/registry_base.h
@@ -15,9 +15,10 @@
 {
     TargetAnnouncement announcement;
     TimePoint heard;
+    bool left = false; ///< Said that it ends; what it announced before may still arrive.
     Version modified; ///< Registry version of its latest change.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetEntry, announcement, heard, modified)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetEntry, announcement, heard, left, modified)
 
 /** All known targets; soft state that is rebuilt from reports under each leader. */
 struct TargetRegistry
--- a/src/target/registry_func.h
+++ b/src/target/registry_func.h
@@ -17,6 +17,9 @@
 AnnounceOutcome announce(TargetRegistry &registry, const TargetAnnouncement &announcement,
                          TimePoint now);
 
+/** Notes that a target ends: it gets no new work. */
+void noteLeft(TargetRegistry &registry, const TargetId &target);
+
 /** Removes targets that were silent for TARGET_SILENCE. @return The removed ones. */
 std::vector<TargetId> dropSilent(TargetRegistry &registry, TimePoint now);
 
--- a/src/target/target_type.h
+++ b/src/target/target_type.h
@@ -65,12 +65,22 @@
     bool leaving = false; ///< Wants no new work.
     FencingNumber lastOrder; ///< Highest fencing number it has carried out.
     std::vector<FencingNumber> failedOrders; ///< Latest orders that it could not carry out.
+    Duration coldFor{}; ///< How much longer it bears only few requests, when it said so.
+    std::uint64_t sequence = 0; ///< Grows with each announcement of a start; 0: not numbered.
 
     friend bool operator==(const TargetAnnouncement &, const TargetAnnouncement &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetAnnouncement, id, address, kind, zone,
                                                 service, memoryMb, maxConcurrent, start, loaded,
-                                                cached, leaving, lastOrder, failedOrders)
+                                                cached, leaving, lastOrder, failedOrders, coldFor,
+                                                sequence)
+
+/** @return Whether two announcements say the same, whatever their sequence numbers. */
+inline bool sameContent(const TargetAnnouncement &a, TargetAnnouncement b)
+{
+    b.sequence = a.sequence;
+    return a == b;
+}
 
 /** Kind of an order to an engine. */
 enum class OrderAction {
@@ -89,8 +99,9 @@
     Version version;
     std::int64_t memoryMb = 0;
     StartNumber start; ///< Start that the order is meant for.
+    TargetId target; ///< Whom it is meant for.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Order, fencing, action, variant, version, memoryMb,
-                                                start)
+                                                start, target)
 
 } // namespace bilberry
