--- a/src/bench/placement_replay.cpp
+++ b/src/bench/placement_replay.cpp
@@ -313,7 +313,7 @@
     const auto orders = dueOrders(
         replay.planner, {replay.cluster.view, replay.registry, replay.cluster.lastFencing},
         [](const Replica &) { return true; }, replay.now);
-    for (const OutstandingOrder &order : orders) {
+    for (const OutstandingOrder &order : orders.orders) {
         const std::string id = replicaId(order.target, order.order.variant);
         if (order.order.action == OrderAction::Load)
             beginLoad(replay, order.target, order.order.variant, order.order.fencing);
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -61,6 +61,8 @@
     std::string service; ///< Service whose engines serve it; empty: engines without one.
     std::int64_t memoryMb = 16'000; ///< Accelerator memory of one replica.
     std::int64_t adapterMemoryMb = 200; ///< Additional memory of each adapter.
+    double loadSeconds = 0; ///< From the weight store; 0: unknown.
+    double cachedLoadSeconds = 0; ///< From a target's own disk; 0: unknown.
     int minReplicas = 0; ///< Kept loaded even when idle.
     int maxReplicas = 4;
     Version version{1}; ///< Version of the weights to serve; 0: whichever an engine has.
@@ -70,8 +72,9 @@
     friend bool operator==(const Model &, const Model &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Model, id, adapters, service, memoryMb,
-                                                adapterMemoryMb, minReplicas, maxReplicas, version,
-                                                workClass, timeLimitMs)
+                                                adapterMemoryMb, loadSeconds, cachedLoadSeconds,
+                                                minReplicas, maxReplicas, version, workClass,
+                                                timeLimitMs)
 
 /** Part of a route's requests that goes to one service. */
 struct RouteShare
@@ -90,12 +93,13 @@
     double coldStartsPerSecond = 0; ///< Requests that one cold target bears; 0: no limit.
     std::int64_t memoryMb = 0; ///< Accelerator memory of one engine; 0: a plain service.
     int adapterSlots = 0; ///< Adapters that one engine holds at once; 0: no limit.
+    bool ramps = true; ///< Whether a fresh target's slots are opened step by step.
     double storeLoadsPerSecond = 0; ///< Model loads that the weight store allows; 0: the default.
 
     friend bool operator==(const ServicePolicy &, const ServicePolicy &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServicePolicy, id, coldStartsPerSecond, memoryMb,
-                                                adapterSlots, storeLoadsPerSecond)
+                                                adapterSlots, ramps, storeLoadsPerSecond)
 
 /** A named path that leads to a plain service. */
 struct Route
@@ -111,6 +115,7 @@
     WorkClass workClass = WorkClass::Interactive;
     int timeLimitMs = 5'000;
     int attempts = 3; ///< Most targets that may run one call.
+    int patienceMs = 0; ///< Callers leave if the answer has not begun by then; 0: they wait.
     int latencyGoalMs = 0; ///< Time to the answer's beginning that callers hope for; 0: none.
     int priority = 0; ///< 0 goes first.
 
@@ -118,7 +123,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Route, id, host, path, service, split, repeatable,
                                                 resumable, open, workClass, timeLimitMs, attempts,
-                                                latencyGoalMs, priority)
+                                                patienceMs, latencyGoalMs, priority)
 
 /** What the operator says of a target beyond its own announcement. */
 struct TargetPolicy
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -117,6 +117,7 @@
     settings.controlSeeds = readSeeds(reader, settings.peers.port);
     settings.found = reader.boolean("found", false);
     settings.voters = static_cast<int>(reader.integer("voters", 0, 0, MAX_VOTERS));
+    settings.prefetch = reader.boolean("prefetch", false);
     settings.retryShare = reader.number("retryShare", settings.retryShare, 0, 10);
     settings.retryBurst = reader.number("retryBurst", settings.retryBurst, 0, 1e6);
     settings.freshnessLease
--- a/src/config/settings_type.h
+++ b/src/config/settings_type.h
@@ -45,6 +45,7 @@
     std::map<HostId, Endpoint> controlHosts; ///< Control members at the time of writing.
     std::vector<Endpoint> controlSeeds; ///< Some control hosts, with the port of @c peers.
     bool found = false; ///< Seeds found a new control group if their data folder is empty.
+    bool prefetch = false; ///< Spare loads bring models to engines before they are asked for.
     int voters = 0; ///< Members are replaced until so many vote; 0: only operators change them.
     std::size_t maxBodyBytes = 4 << 20;
     double retryShare = 0.2; ///< Retries of all hosts per request of a service.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t COMPACT_AFTER_ENTRIES = 1'000;
 constexpr Duration EXPIRE_INTERVAL = 10s;
+constexpr Duration ADAPTER_LOAD = 40ms; ///< From an accepted order until the adapter serves.
 constexpr Duration LOST_HOST_INTERVAL = 500ms;
 
 void becomeLeader(Control &control, TimePoint now)
@@ -25,6 +26,7 @@
     leadership.clockAtStart = control.cluster.clock;
     leadership.registry.epoch = leadership.term;
     leadership.planner.since = now;
+    leadership.planner.tuning = control.tuning;
     leadership.planner.inherited = control.cluster.lastFencing;
     leadership.planner.storeCreditAt = now;
     leadership.placementDue = now;
@@ -198,11 +200,33 @@
                effects, now);
 }
 
+void noteAdapterOrder(Leadership &leadership, const OrderReplyEvent &event, TimePoint now)
+{
+    const auto known = leadership.planner.orders.find(event.replica);
+    const bool adapter = known != leadership.planner.orders.end()
+        && known->second.order.fencing == event.fencing && event.reply == OrderReply::Accepted
+        && known->second.order.precondition && !known->second.order.variant.adapter.value.empty();
+    if (!adapter)
+        return;
+    const Order &order = known->second.order;
+    const bool loads = order.action == OrderAction::Load;
+    leadership.assumptions.push_back({now + (loads ? ADAPTER_LOAD : Duration::zero()), order.target,
+                                      order.start, order.variant, order.version, loads});
+}
+
+void onInspection(Control &control, const InspectionEvent &event, TimePoint now)
+{
+    if (control.leadership)
+        noteInspection(control.leadership->planner, event.target, event.start, event.inspection,
+                       now);
+}
+
 void onOrderReply(Control &control, const OrderReplyEvent &event, ControlEffects &effects,
                   TimePoint now)
 {
     if (!control.leadership)
         return;
+    noteAdapterOrder(*control.leadership, event, now);
     const std::vector<std::string> gone = noteOrderReply(control.leadership->planner, event.replica,
                                                          event.fencing, event.reply, now);
     if (!gone.empty())
@@ -319,6 +343,8 @@
         absorb(control, synced(control.replica, written->index, written->term, now), effects, now);
     else if (const auto *order = std::get_if<OrderReplyEvent>(&event))
         onOrderReply(control, *order, effects, now);
+    else if (const auto *inspection = std::get_if<InspectionEvent>(&event))
+        onInspection(control, *inspection, now);
     else if (std::holds_alternative<ControlTickEvent>(event))
         onTick(control, effects, now);
     else
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -81,6 +81,17 @@
     TimePoint last;
 };
 
+/** An accepted order about an adapter, whose effect the target does not announce by itself. */
+struct AdapterAssumption
+{
+    TimePoint at; ///< When it is taken to be carried out.
+    TargetId target;
+    StartNumber start;
+    Variant variant;
+    Version version;
+    bool loaded = false;
+};
+
 /** Soft state of one leadership. */
 struct Leadership
 {
@@ -103,6 +114,8 @@
     TimePoint lostHostsDue;
     std::map<std::string, Version>
         unloadSeen; ///< Registry version since which hosts know an unload.
+    std::set<std::string> loadSeen; ///< Loads under way that hosts were told of.
+    std::vector<AdapterAssumption> assumptions;
     std::optional<ChangeMember> memberChange; ///< Learner to be promoted once it has caught up.
 };
 
@@ -112,6 +125,7 @@
     LogReplica replica;
     Cluster cluster;
     std::optional<Leadership> leadership;
+    PlannerTuning tuning; ///< Of each leadership.
     int votersWanted = 0; ///< Members are replaced until so many vote; 0: only by operators.
     TimePoint now; ///< Time of the last event.
 };
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -37,6 +37,14 @@
     OrderReply reply = OrderReply::Unknown;
 };
 
+/** What a target said when it was asked; nothing if it did not answer. */
+struct InspectionEvent
+{
+    TargetId target;
+    StartNumber start;
+    std::optional<TargetInspection> inspection;
+};
+
 struct ControlTickEvent
 {
 };
@@ -46,8 +54,9 @@
 {
 };
 
-using ControlEvent = std::variant<ReplicaMessageEvent, HostMessageEvent, SyncedEvent,
-                                  OrderReplyEvent, ControlTickEvent, ControlLeaveEvent>;
+using ControlEvent
+    = std::variant<ReplicaMessageEvent, HostMessageEvent, SyncedEvent, OrderReplyEvent,
+                   ControlTickEvent, ControlLeaveEvent, InspectionEvent>;
 
 /** Records to write in order, then sync, then send. */
 struct JournalWrite
@@ -73,6 +82,14 @@
     Order order;
 };
 
+/** Asks a target for what it has accepted and does. */
+struct InspectTarget
+{
+    TargetId target;
+    StartNumber start;
+    std::string address;
+};
+
 /** Everything that one event leads to. */
 struct ControlEffects
 {
@@ -80,6 +97,7 @@
     std::vector<OutgoingMessage> toMembers;
     std::vector<ToHost> toHosts;
     std::vector<SendOrder> orders;
+    std::vector<InspectTarget> inspections;
     bool roleChanged = false;
 };
 
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -83,8 +83,8 @@
     }
 }
 
-TargetSlots &slotsOf(Leadership &leadership, const TargetAnnouncement &target, int knownLimit,
-                     TimePoint now)
+TargetSlots &slotsOf(Leadership &leadership, const TargetAnnouncement &target, bool ramps,
+                     int knownLimit, TimePoint now)
 {
     TargetSlots &slots = leadership.slots[target.id];
     if (slots.ramp.start == target.start)
@@ -92,7 +92,8 @@
     slots = {};
     // A target that has served for long is taken to bear what the hosts already send it.
     slots.ramp = makeRamp(target.start, target.maxConcurrent);
-    slots.ramp.limit = std::clamp(knownLimit, slots.ramp.limit, target.maxConcurrent);
+    slots.ramp.limit = ramps ? std::clamp(knownLimit, slots.ramp.limit, target.maxConcurrent)
+                             : target.maxConcurrent;
     const bool inherited = now < leadership.unknownUntil;
     slots.pool = inherited ? makeInheritedPool(0, slots.ramp.limit, leadership.unknownUntil, now)
                            : makePool(0, slots.ramp.limit, now);
@@ -196,11 +197,13 @@
     return own;
 }
 
-void noteSlotUse(TargetSlots &slots, const HostReport &report, const SlotUse &use, TimePoint now)
+void noteSlotUse(TargetSlots &slots, const HostReport &report, const SlotUse &use, bool ramps,
+                 TimePoint now)
 {
     HostSlotDemand &demand = slots.demands[report.holder];
-    noteAnswers(slots.ramp, std::max<std::int64_t>(use.succeeded - demand.succeeded, 0),
-                std::max<std::int64_t>(use.overloaded - demand.overloaded, 0));
+    if (ramps)
+        noteAnswers(slots.ramp, std::max<std::int64_t>(use.succeeded - demand.succeeded, 0),
+                    std::max<std::int64_t>(use.overloaded - demand.overloaded, 0));
     demand = {use.demand, use.succeeded, use.overloaded, now};
     if (slots.ramp.limit != static_cast<int>(slots.pool.bound))
         resize(slots.pool, 0, slots.ramp.limit, now);
@@ -215,8 +218,10 @@
         if (entry == leadership.registry.targets.end()
             || entry->second.announcement.start != use.start)
             continue;
-        TargetSlots &slots = slotsOf(leadership, entry->second.announcement, use.limit, now);
-        noteSlotUse(slots, report, use, now);
+        const auto service = control.cluster.view.services.find(entry->second.announcement.service);
+        const bool ramps = service == control.cluster.view.services.end() || service->second.ramps;
+        TargetSlots &slots = slotsOf(leadership, entry->second.announcement, ramps, use.limit, now);
+        noteSlotUse(slots, report, use, ramps, now);
         const TimePoint expires
             = now + withDriftMargin(std::max<Duration>(BUDGET_LEASE, use.busyFor));
         SlotGrant out;
@@ -269,6 +274,31 @@
     return static_cast<std::size_t>(count);
 }
 
+Duration loadTime(const Control &control, const Replica &replica)
+{
+    const auto model = control.cluster.view.models.find(replica.variant.model);
+    if (model == control.cluster.view.models.end())
+        return Duration::zero();
+    const bool cached = control.leadership->planner.cachedLoads.contains(
+        replicaId(replica.target, replica.variant));
+    return fromSeconds(cached ? model->second.cachedLoadSeconds : model->second.loadSeconds);
+}
+
+/** Adds loads under way with the time that they are expected to take still. */
+void addLoads(const Control &control, TargetAnnouncement &announcement, TimePoint now)
+{
+    for (const auto &[id, order] : control.leadership->planner.orders) {
+        const auto replica = control.cluster.view.replicas.find(id);
+        if (order.target != announcement.id || order.order.action != OrderAction::Load
+            || replica == control.cluster.view.replicas.end())
+            continue;
+        const Duration passed = now - order.sentAt;
+        announcement.loading.push_back(
+            {order.order.variant,
+             std::max<Duration>(loadTime(control, replica->second) - passed, Duration::zero())});
+    }
+}
+
 /** Removes from an announcement what hosts must not use: variants being unloaded. */
 TargetAnnouncement withoutUnloading(const Control &control, TargetAnnouncement announcement)
 {
@@ -338,8 +368,10 @@
         || report.registry != leadership.registry.version;
     if (behind && registryIsComplete(leadership, now)) {
         grant.registry = deltaSince(leadership.registry, report.registryEpoch, report.registry);
-        for (TargetAnnouncement &announcement : grant.registry->changed)
+        for (TargetAnnouncement &announcement : grant.registry->changed) {
             announcement = withoutUnloading(control, std::move(announcement));
+            addLoads(control, announcement, now);
+        }
     }
     grant.suspectsVersion = leadership.suspectsVersion;
     if (report.term != leadership.term || report.suspectsVersion != leadership.suspectsVersion) {
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -51,19 +51,67 @@
     }
 }
 
+/** Makes hosts learn of loads under way, so that they can tell callers when to come back. */
+void publishLoads(Control &control)
+{
+    Leadership &leadership = *control.leadership;
+    const auto &replicas = control.cluster.view.replicas;
+    std::erase_if(leadership.loadSeen, [&](const std::string &id) {
+        const auto replica = replicas.find(id);
+        return replica == replicas.end() || replica->second.state != ReplicaState::Loading;
+    });
+    for (const auto &[id, replica] : replicas) {
+        const bool news
+            = replica.state == ReplicaState::Loading && replica.variant.adapter.value.empty();
+        const auto entry = leadership.registry.targets.find(replica.target);
+        if (!news || entry == leadership.registry.targets.end()
+            || !leadership.loadSeen.insert(id).second)
+            continue;
+        entry->second.modified = Version(++leadership.registry.version.value);
+    }
+}
+
+/** Targets announce adapters late: what they accepted counts as done after its usual time. */
+void assumeAdapters(Leadership &leadership, TimePoint now)
+{
+    std::erase_if(leadership.assumptions, [&](const AdapterAssumption &item) {
+        if (now < item.at)
+            return false;
+        const auto entry = leadership.registry.targets.find(item.target);
+        if (entry == leadership.registry.targets.end()
+            || entry->second.announcement.start != item.start)
+            return true;
+        std::vector<LoadedVariant> &loaded = entry->second.announcement.loaded;
+        std::erase_if(loaded, [&](const LoadedVariant &l) { return l.variant == item.variant; });
+        if (item.loaded)
+            loaded.push_back({item.variant, item.version, 0});
+        entry->second.modified = Version(++leadership.registry.version.value);
+        leadership.placementDue = now;
+        return true;
+    });
+}
+
 void sendDueOrders(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
     publishUnloads(control);
+    publishLoads(control);
+    assumeAdapters(leadership, now);
     const PlacementView input{control.cluster.view, leadership.registry,
                               control.cluster.lastFencing};
     const auto drained = [&](const Replica &replica) {
         return isDrained(leadership, replicaId(replica.target, replica.variant), now);
     };
-    for (const OutstandingOrder &due : dueOrders(leadership.planner, input, drained, now)) {
-        const TargetAnnouncement &target = leadership.registry.targets.at(due.target).announcement;
+    const DueOrders due = dueOrders(leadership.planner, input, drained, now);
+    for (const OutstandingOrder &order : due.orders) {
+        const TargetAnnouncement &target
+            = leadership.registry.targets.at(order.target).announcement;
         effects.orders.push_back(
-            {replicaId(due.target, due.order.variant), target.address, due.order});
+            {replicaId(order.target, order.order.variant), target.address, order.order});
+    }
+    for (const TargetId &id : due.inspections) {
+        const TargetAnnouncement &target = leadership.registry.targets.at(id).announcement;
+        effects.inspections.push_back({id, target.start, target.address});
     }
 }
 
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -30,18 +30,18 @@
 
 } // namespace
 
-ControlDuty::ControlDuty(const Settings &settings, SendOrderFn sendOrder)
+ControlDuty::ControlDuty(const Settings &settings, OrderChannel orders)
     : settings(settings)
-    , sendOrder(std::move(sendOrder))
+    , orders(std::move(orders))
     , tasks(RING_CAPACITY)
     , writes(RING_CAPACITY)
 {
 }
 
 Result<std::unique_ptr<ControlDuty>> ControlDuty::start(const Settings &settings,
-                                                        SendOrderFn sendOrder)
+                                                        OrderChannel orders)
 {
-    std::unique_ptr<ControlDuty> duty(new ControlDuty(settings, std::move(sendOrder)));
+    std::unique_ptr<ControlDuty> duty(new ControlDuty(settings, std::move(orders)));
     Journal::Content content;
     BOOST_OUTCOME_TRY(journal, Journal::open(settings.dataFolder, content));
     duty->journal = std::move(journal);
@@ -57,6 +57,8 @@
         return control.error();
     duty->control = std::move(control).value();
     duty->control.votersWanted = settings.voters;
+    duty->control.tuning.countsOrders = settings.edge == EdgeKind::Platform;
+    duty->control.tuning.prefetches = settings.prefetch;
     ControlDuty *self = duty.get();
     BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
                           return self->takeFrame(std::move(frame));
@@ -154,9 +156,14 @@
         this->server->sendToHost(item.holder, item.message);
     for (SendOrder &order : effects.orders) {
         const OrderReplyEvent unsent{order.replica, order.order.fencing, OrderReply::Refused};
-        if (!this->sendOrder(std::move(order)))
+        if (!this->orders.send(std::move(order)))
             this->post(unsent);
     }
+    for (InspectTarget &item : effects.inspections) {
+        const InspectionEvent unanswered{item.target, item.start, {}};
+        if (!this->orders.inspect(std::move(item)))
+            this->post(unanswered);
+    }
     if (effects.roleChanged)
         this->noteRole();
 }
--- a/src/daemon/control_duty_base.h
+++ b/src/daemon/control_duty_base.h
@@ -20,14 +20,19 @@
 class ControlDuty
 {
 public:
-    using SendOrderFn = std::function<bool(SendOrder)>;
+    /** How targets are reached; each returns false if there is no room. */
+    struct OrderChannel
+    {
+        std::function<bool(SendOrder)> send;
+        std::function<bool(InspectTarget)> inspect;
+    };
 
     /**
      * Opens the data folder and starts the threads.
      * @return Failures of Journal::open() and PeerServer::start().
      */
     static Result<std::unique_ptr<ControlDuty>> start(const Settings &settings,
-                                                      SendOrderFn sendOrder);
+                                                      OrderChannel orders);
     ~ControlDuty();
 
     /** @return False if the ring is full. */
@@ -52,7 +57,7 @@
     using Inspection = std::function<void(const Control &)>;
     using Task = std::variant<ControlEvent, Inspection>;
 
-    ControlDuty(const Settings &settings, SendOrderFn sendOrder);
+    ControlDuty(const Settings &settings, OrderChannel orders);
 
     bool takeFrame(PeerFrame &&frame);
     void runDecisions();
@@ -63,7 +68,7 @@
     void noteRole();
 
     Settings settings;
-    SendOrderFn sendOrder;
+    OrderChannel orders;
     MemberId memberId;
     std::unique_ptr<Journal> journal;
     std::unique_ptr<PeerServer> server;
--- a/src/daemon/host_duty.cpp
+++ b/src/daemon/host_duty.cpp
@@ -84,14 +84,14 @@
 }
 
 Result<std::unique_ptr<HostDuty>> HostDuty::start(const Settings &settings, const Edge &edge,
-                                                  TargetClient::OnOrderReply onOrderReply)
+                                                  TargetClient::OnControlEvent onControlEvent)
 {
     std::unique_ptr<HostDuty> duty(new HostDuty(settings, edge));
     HostDuty *self = duty.get();
     duty->targets = std::make_unique<TargetClient>(
         duty->exchanges, edge, settings.host.value,
         [self](AttemptEnded &&ended) { self->tasks.push(Task(HostEvent(std::move(ended)))); },
-        std::move(onOrderReply));
+        std::move(onControlEvent));
     if (settings.entry) {
         BOOST_OUTCOME_TRY(
             callers,
--- a/src/daemon/host_duty_base.h
+++ b/src/daemon/host_duty_base.h
@@ -23,11 +23,11 @@
 public:
     /**
      * Starts the threads.
-     * @param onOrderReply Gets the replies to orders that sendOrder() sent.
+     * @param onControlEvent Gets replies to orders and inspections.
      * @return Errc::AddressInUse.
      */
     static Result<std::unique_ptr<HostDuty>> start(const Settings &settings, const Edge &edge,
-                                                   TargetClient::OnOrderReply onOrderReply);
+                                                   TargetClient::OnControlEvent onControlEvent);
     ~HostDuty();
 
     bool post(HostEvent event);
@@ -35,6 +35,9 @@
     /** Sends an order of the control role to a target. */
     bool sendOrder(SendOrder order) { return this->targets->sendOrder(std::move(order)); }
 
+    /** Asks a target for its state. */
+    bool inspect(InspectTarget item) { return this->targets->inspect(std::move(item)); }
+
     /** Passes an operator's request to the leader. @return Errc::Timeout in the answer if none
      * came. */
     OperatorAnswer callLeader(OperatorBody body, bool dryRun, Duration timeout);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -136,16 +136,18 @@
     ControlDuty **controlSlot = new ControlDuty *(nullptr);
     const Edge &edge = settings.edge == EdgeKind::Platform ? platformEdge() : ownEdge();
     Result<std::unique_ptr<HostDuty>> host
-        = HostDuty::start(settings, edge, [controlSlot](OrderReplyEvent &&reply) {
+        = HostDuty::start(settings, edge, [controlSlot](ControlEvent &&event) {
               if (*controlSlot != nullptr)
-                  (*controlSlot)->post(std::move(reply));
+                  (*controlSlot)->post(std::move(event));
           });
     if (!host)
         return fail("callers " + settings.callers.text(), host.error());
     if (settings.control) {
         HostDuty *sender = host.value().get();
         Result<std::unique_ptr<ControlDuty>> started = ControlDuty::start(
-            settings, [sender](SendOrder order) { return sender->sendOrder(std::move(order)); });
+            settings,
+            {[sender](SendOrder order) { return sender->sendOrder(std::move(order)); },
+             [sender](InspectTarget item) { return sender->inspect(std::move(item)); }});
         if (!started)
             return fail("control role", started.error());
         control = std::move(started).value();
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t DEFAULT_MAX_TOKENS = 512; ///< When the caller names no limit.
 constexpr Duration LEAVING_GRACE
     = 5s; ///< After the drain, callers on open connections are still served.
+constexpr Duration BEGIN_TIME = 300ms; ///< From the dispatch to the answer's beginning.
 constexpr Duration BUDGET_PATIENCE = 400ms; ///< Wait for budgets that other hosts may hand back.
 
 /** Outcome of the checks: a request ready to be stored, or a refusal. */
@@ -149,6 +150,10 @@
     check.request.mostRuns = route->attempts;
     check.request.recorded = !route->repeatable && !check.request.asked.idempotencyKey.empty();
     limitTime(check.request, route->timeLimitMs, now);
+    if (route->patienceMs > 0)
+        check.request.waitUntil
+            = std::min(check.request.deadline,
+                       now + std::chrono::milliseconds(route->patienceMs) - BEGIN_TIME);
     return std::nullopt;
 }
 
@@ -241,6 +246,8 @@
     const RequestId id = asked.request;
     Request &request = host.requests.emplace(id, std::move(check.request)).first->second;
     host.deadlines.emplace(request.deadline, id);
+    if (request.waitUntil != TimePoint{})
+        host.waits.emplace(request.waitUntil, id);
     if (request.account.value.empty()) {
         proceed(host, request, effects, now);
         return;
@@ -281,6 +288,12 @@
             refuse(host, request.asked.request, RefusalCode::Overloaded, effects, now, *wait);
             return;
         }
+    } else if (request.waitUntil != TimePoint{} && request.eventsRelayed == 0) {
+        const std::optional<Duration> load = expectedLoad(host, request.group, now);
+        if (load && now + *load > request.waitUntil) {
+            turnAway(host, request.asked.request, *load, effects, now);
+            return;
+        }
     }
     request.state = RequestState::Queued;
     request.queuedAt = now;
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -73,6 +73,7 @@
     case AttemptResult::Cancelled:
         return;
     case AttemptResult::NotSent:
+    case AttemptResult::Failed:
     case AttemptResult::Mismatched:
         noteOutcome(target.health, false, now);
         return;
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr Duration ADAPTER_LOAD = 250ms; ///< From the wish for an adapter until it serves.
+constexpr Duration LOAD_OVERHEAD = 700ms; ///< Of deciding, making room and telling the hosts.
 constexpr std::size_t COLD_HOSTS = 4; ///< Hosts that send to one cold target.
 constexpr double BULK_SHARE = 0.75; ///< Of a target's held slots that bulk work may take.
 constexpr Duration FIRST_BYTE_LIMIT = 20s; ///< Of a model whose service time is not known yet.
@@ -203,6 +205,7 @@
     if (now < target.coldUntil)
         target.coldStartDue = now + coldStartPause(host, target);
     request.suspected = request.suspected || host.suspects.contains(request.asked.body);
+    host.waits.erase({request.waitUntil, id});
     noteDispatch(host.groups[request.group], waitingIn(host.queue, request.group) > 0, now);
     StartAttempt start;
     start.attempt = request.attempt;
@@ -218,6 +221,8 @@
     start.correlation = request.correlation;
     start.resumeAfter = request.eventsRelayed;
     start.account = request.account;
+    start.holdFailures
+        = request.repeatable && request.runs + 1 < request.mostRuns && request.asked.byRoute;
     effects.push_back(start);
 }
 
@@ -241,6 +246,33 @@
     return !openTargets(host, group, now).empty();
 }
 
+std::optional<Duration> expectedLoad(const Host &host, const WorkGroup &group, TimePoint now)
+{
+    if (group.variant.model.value.empty())
+        return std::nullopt;
+    const auto model = host.view.models.find(group.variant.model);
+    if (model == host.view.models.end() || model->second.loadSeconds <= 0)
+        return std::nullopt;
+    const bool isAdapter = !group.variant.adapter.value.empty();
+    const WorkGroup base{{group.variant.model, {}}, group.service};
+    if (isAdapter && !openTargets(host, base, now).empty())
+        return ADAPTER_LOAD;
+    Duration least = fromSeconds(model->second.loadSeconds) + LOAD_OVERHEAD;
+    for (const auto &[id, target] : host.targets) {
+        if (target.announcement.leaving || target.announcement.service != group.service)
+            continue;
+        const auto loading = target.loadingUntil.find(base.variant);
+        if (loading != target.loadingUntil.end())
+            least = std::min(least, std::max<Duration>(loading->second - now, ADAPTER_LOAD));
+        for (const CachedModel &cached : target.announcement.cached) {
+            if (cached.model == group.variant.model && cached.tier != CacheTier::Remote)
+                least = std::min<Duration>(
+                    least, fromSeconds(model->second.cachedLoadSeconds) + LOAD_OVERHEAD);
+        }
+    }
+    return least + (isAdapter ? ADAPTER_LOAD : Duration::zero());
+}
+
 std::optional<Duration> estimatedWait(const Host &host, const Request &request)
 {
     const auto statistics = host.groups.find(request.group);
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -60,6 +60,7 @@
     bool charged = false; ///< Budgets were taken.
     TimePoint arrived;
     TimePoint deadline;
+    TimePoint waitUntil; ///< Later than this it is of no use to begin.
     TimePoint queuedAt;
     TimePoint dispatchedAt;
     AttemptId attempt; ///< Present one.
@@ -78,10 +79,11 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Request, asked, account, group, workClass,
                                                 repeatable, recorded, recordOwned, state, estimate,
-                                                charged, arrived, deadline, queuedAt, dispatchedAt,
-                                                attempt, correlation, target, targetStart, attempts,
-                                                runs, mostRuns, resumable, tried, maySent,
-                                                callerGone, eventsRelayed, suspected)
+                                                charged, arrived, deadline, waitUntil, queuedAt,
+                                                dispatchedAt, attempt, correlation, target,
+                                                targetStart, attempts, runs, mostRuns, resumable,
+                                                tried, maySent, callerGone, eventsRelayed,
+                                                suspected)
 
 /** Budgets of one account at this host. */
 struct HeldAccount
@@ -116,6 +118,7 @@
     std::int64_t overloaded = 0;
     TargetHealth health;
     TimePoint lastUse;
+    std::map<Variant, TimePoint> loadingUntil; ///< Loads under way.
     TimePoint coldUntil; ///< Until then only few requests may begin.
     TimePoint coldStartDue; ///< When this host may begin the next one while it is cold.
     std::map<WorkGroup, TimePoint> declinedUntil; ///< After it said that it lacks the variant.
@@ -130,8 +133,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(KnownTarget, announcement, slots, running,
                                                 cancelling, peak, limit, share, succeeded,
-                                                overloaded, health, lastUse, coldUntil,
-                                                coldStartDue, declinedUntil, declinedInRow)
+                                                overloaded, health, lastUse, loadingUntil,
+                                                coldUntil, coldStartDue, declinedUntil,
+                                                declinedInRow)
 
 /** A target that announces itself at this host. */
 struct LocalTarget
@@ -151,9 +155,10 @@
     double gapSeconds = 0; ///< Smoothed time between dispatches while requests wait.
     TimePoint lastDispatch;
     int arrived = 0; ///< Since the last report.
+    std::deque<TimePoint> returns; ///< When callers who were turned away come back.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(GroupStatistics, serviceSeconds, tokens, gapSeconds,
-                                                lastDispatch, arrived)
+                                                lastDispatch, arrived, returns)
 
 /** Counters of one host, also served to scrapers. */
 struct HostCounters
@@ -191,6 +196,7 @@
 
     std::map<RequestId, Request> requests;
     std::set<std::pair<TimePoint, RequestId>> deadlines;
+    std::set<std::pair<TimePoint, RequestId>> waits; ///< Ends of patience of waiting requests.
     std::map<AttemptId, RequestId> attempts;
     std::map<AttemptId, TargetId> cancelling; ///< Attempts given up, until they end.
     std::uint64_t lastAttempt = 0;
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -21,7 +21,9 @@
             std::optional<Duration> retryAfter = {});
 /** Forgets a request whose caller was answered; gives back what was not used. */
 void finish(Host &host, RequestId id, std::int64_t tokensUsed, bool ran, TimePoint now);
-/** Refuses whatever has reached its deadline. */
+/** Tells a caller to come back when the variant is expected to be loaded. */
+void turnAway(Host &host, RequestId id, Duration wait, HostEffects &effects, TimePoint now);
+/** Refuses whatever has reached its deadline, or whose caller is about to leave. */
 void sweepDeadlines(Host &host, HostEffects &effects, TimePoint now);
 
 // Dispatch.
@@ -31,6 +33,8 @@
 bool isServed(const Host &host, const WorkGroup &group, TimePoint now);
 /** @return Targets that may get new work of the group. */
 std::vector<TargetId> openTargets(const Host &host, const WorkGroup &group, TimePoint now);
+/** @return Time until a target may have loaded the group's variant, if that can be told. */
+std::optional<Duration> expectedLoad(const Host &host, const WorkGroup &group, TimePoint now);
 /** @return Time that the request would have to wait, if that can be told. */
 std::optional<Duration> estimatedWait(const Host &host, const Request &request);
 
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -52,6 +52,7 @@
     Answered, ///< The caller has the whole answer, or will have it.
     Refused, ///< The target said, on the attempt's own correlation id, that it did not run.
     NotSent, ///< No byte reached the target.
+    Failed, ///< A server error, kept back since the request may be repeated.
     Lost, ///< The connection broke after the first byte was sent.
     Stalled, ///< Silent for too long.
     Mismatched, ///< The answer was another request's.
@@ -61,6 +62,7 @@
                              {{AttemptResult::Answered, "answered"},
                               {AttemptResult::Refused, "refused"},
                               {AttemptResult::NotSent, "notSent"},
+                              {AttemptResult::Failed, "failed"},
                               {AttemptResult::Lost, "lost"},
                               {AttemptResult::Stalled, "stalled"},
                               {AttemptResult::Mismatched, "mismatched"},
@@ -196,11 +198,12 @@
     AttemptId correlation; ///< Differs from @c attempt when a stream is resumed.
     std::int64_t resumeAfter = 0; ///< Stream events that the caller already has.
     AccountId account; ///< Whose request it is; empty on open routes.
+    bool holdFailures = false; ///< Server errors are kept back.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
                                                 remaining, firstByteLimit, interByteLimit,
                                                 freshConnection, keepAnswer, correlation,
-                                                resumeAfter, account)
+                                                resumeAfter, account, holdFailures)
 
 struct CancelAttempt
 {
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -23,6 +23,7 @@
 constexpr double DEMAND_SMOOTHING = 0.3;
 constexpr double PREFETCH_INTERVALS = 2; ///< Budgets kept ahead, in report intervals of demand.
 constexpr Duration GROUP_MEMORY = 10s; ///< A group dispatched within this is in use.
+constexpr Duration RETURN_SLACK = 500ms; ///< Callers come back a little late.
 constexpr double PEAK_DECAY = 0.8; ///< Per report.
 
 void noteDemand(double &demand, std::int64_t &used)
@@ -197,6 +198,9 @@
         if (statistics.arrived > 0 && !group.variant.model.value.empty())
             uses[group.variant].arrived = statistics.arrived;
         statistics.arrived = 0;
+        std::erase_if(statistics.returns, [&](TimePoint at) { return now - at > RETURN_SLACK; });
+        if (!statistics.returns.empty() && !group.variant.model.value.empty())
+            uses[group.variant].returning = static_cast<int>(statistics.returns.size());
     }
     for (auto &[variant, use] : uses) {
         use.variant = variant;
@@ -333,6 +337,9 @@
             target = {};
         target.announcement = announcement;
         target.declinedUntil.clear();
+        target.loadingUntil.clear();
+        for (const LoadingVariant &loading : announcement.loading)
+            target.loadingUntil[loading.variant] = now + loading.left;
         if (announcement.coldFor > Duration::zero())
             target.coldUntil = now + announcement.coldFor;
         index(host, announcement);
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -56,6 +56,9 @@
     refuse(host, id, cold ? RefusalCode::NoTarget : RefusalCode::Deadline, effects, now);
 }
 
+constexpr std::size_t MAX_RETURNS = 1'000;
+constexpr Duration DEFAULT_RETURN = 1s; ///< Where nothing tells when there will be room.
+
 } // namespace
 
 void finish(Host &host, RequestId id, std::int64_t tokensUsed, bool ran, TimePoint)
@@ -65,6 +68,7 @@
     unwait(host, request);
     settle(host, request, tokensUsed, ran);
     host.deadlines.erase({request.deadline, id});
+    host.waits.erase({request.waitUntil, id});
     if (request.state == RequestState::Running) {
         host.attempts.erase(request.attempt);
         const auto target = host.targets.find(request.target);
@@ -91,8 +95,33 @@
     finish(host, id, 0, request.maySent, now);
 }
 
+void turnAway(Host &host, RequestId id, Duration wait, HostEffects &effects, TimePoint now)
+{
+    const Request &request = host.requests.at(id);
+    std::deque<TimePoint> &returns = host.groups[request.group].returns;
+    if (returns.size() < MAX_RETURNS)
+        returns.push_back(now + wait);
+    host.reportWanted = true;
+    refuse(host, id, RefusalCode::NoTarget, effects, now, wait);
+}
+
+/** Callers who are about to leave are told at once when to come back. */
+void sweepWaits(Host &host, HostEffects &effects, TimePoint now)
+{
+    while (!host.waits.empty() && host.waits.begin()->first <= now) {
+        const RequestId id = host.waits.begin()->second;
+        host.waits.erase(host.waits.begin());
+        const Request &request = host.requests.at(id);
+        if (request.state != RequestState::Queued || request.eventsRelayed > 0)
+            continue;
+        const std::optional<Duration> load = expectedLoad(host, request.group, now);
+        turnAway(host, id, load.value_or(DEFAULT_RETURN), effects, now);
+    }
+}
+
 void sweepDeadlines(Host &host, HostEffects &effects, TimePoint now)
 {
+    sweepWaits(host, effects, now);
     while (!host.deadlines.empty()) {
         const auto [deadline, id] = *host.deadlines.begin();
         if (now < deadline - ANSWER_MARGIN)
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -63,11 +63,12 @@
     int waiting = 0;
     int running = 0;
     int arrived = 0; ///< Since the last report.
+    int returning = 0; ///< Turned away and told to come back about now.
     std::optional<Duration> earliestDeadlineIn; ///< Of the waiting requests.
     std::vector<AccountDemand> accounts; ///< Waiting requests by account.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VariantUse, variant, waiting, running, arrived,
-                                                earliestDeadlineIn, accounts)
+                                                returning, earliestDeadlineIn, accounts)
 
 /** A request digest that a target was lost with. */
 struct CrashSuspicion
--- a/src/net/edge_type.h
+++ b/src/net/edge_type.h
@@ -81,6 +81,9 @@
     /** @return Number of the event that @p event is, or nothing if it has none. */
     std::optional<std::int64_t> (*eventNumber)(std::string_view event);
     EncodedOrder (*encodeOrder)(const Order &order, const std::string &holder);
+    /** @return Path at which a target tells what it has accepted; empty: it does not. */
+    std::string (*inspectionPath)();
+    std::optional<TargetInspection> (*readInspection)(const std::string &body);
     /** Answers targets; may block. */
     HttpReply (*answerTarget)(const DaemonDuties &duties, const HttpRequest &request);
     /** Answers a balancer that asks for readiness. */
--- a/src/net/own_edge.cpp
+++ b/src/net/own_edge.cpp
@@ -74,6 +74,16 @@
     return {"/orders", {{"Content-Type", "application/json"}}, nlohmann::json(order).dump()};
 }
 
+std::string inspectionPath()
+{
+    return "";
+}
+
+std::optional<TargetInspection> readInspection(const std::string &)
+{
+    return std::nullopt;
+}
+
 HttpReply answerReadiness(const DaemonDuties &duties, const HttpRequest &request)
 {
     return answerOperator(duties, request);
@@ -83,9 +93,10 @@
 
 const Edge &ownEdge()
 {
-    static const Edge edge{
-        &parseCallerRequest, &encodeRefusal, &encodeStreamError, &attemptHeaders, &readAnswerHead,
-        AnswerEnd::Marked,   &eventNumber,   &encodeOrder,       &answerTarget,   &answerReadiness};
+    static const Edge edge{&parseCallerRequest, &encodeRefusal,  &encodeStreamError,
+                           &attemptHeaders,     &readAnswerHead, AnswerEnd::Marked,
+                           &eventNumber,        &encodeOrder,    &inspectionPath,
+                           &readInspection,     &answerTarget,   &answerReadiness};
     return edge;
 }
 
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t RING_CAPACITY = 65'536;
 constexpr int POLL_MS = 20;
 constexpr Duration SILENCE_CHECK_INTERVAL = 20ms;
+constexpr long HTTP_OK = 200;
+constexpr long HTTP_CONFLICT = 409;
 constexpr long ORDER_TIMEOUT_MS = 2'000;
 constexpr long MAX_POOLED_CONNECTIONS = 1'024;
 
@@ -32,12 +34,12 @@
     AttemptId attempt;
 };
 
-using Task = std::variant<StartAttempt, Cancel, Retire, Unpause, SendOrder>;
+using Task = std::variant<StartAttempt, Cancel, Retire, Unpause, SendOrder, InspectTarget>;
 
-/** An order under way. */
+/** An order or an inspection under way. */
 struct OrderTransfer
 {
-    SendOrder order;
+    std::variant<SendOrder, InspectTarget> call;
     std::string body;
     std::string answer;
     CURL *easy = nullptr;
@@ -50,18 +52,30 @@
     return size * count;
 }
 
+/** @return What an answer to an order says; without one it may have been accepted. */
+OrderReply replyOf(CURLcode code, long status)
+{
+    if (code != CURLE_OK)
+        return OrderReply::Unknown;
+    if (status >= HTTP_OK && status < 300)
+        return OrderReply::Accepted;
+    if (status == HTTP_CONFLICT)
+        return OrderReply::Busy;
+    return status >= 400 && status < 500 ? OrderReply::Refused : OrderReply::Unknown;
+}
+
 } // namespace
 
 class TargetClient::Impl
 {
 public:
     Impl(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
-         OnAttemptEnded onAttemptEnded, OnOrderReply onOrderReply)
+         OnAttemptEnded onAttemptEnded, OnControlEvent onControlEvent)
         : exchanges(std::move(exchanges))
         , edge(edge)
         , holder(std::move(holder))
         , onAttemptEnded(std::move(onAttemptEnded))
-        , onOrderReply(std::move(onOrderReply))
+        , onControlEvent(std::move(onControlEvent))
         , ring(RING_CAPACITY)
         , multi(curl_multi_init())
     {
@@ -149,29 +163,46 @@
     void handle(const SendOrder &order)
     {
         auto transfer = std::make_unique<OrderTransfer>();
-        transfer->order = order;
+        transfer->call = order;
         EncodedOrder encoded = this->edge.encodeOrder(order.order, this->holder);
         transfer->body = std::move(encoded.body);
-        transfer->easy = curl_easy_init();
         for (const auto &[name, value] : encoded.headers)
             transfer->headers
                 = curl_slist_append(transfer->headers, absl::StrCat(name, ": ", value).c_str());
-        const std::string url = absl::StrCat("http://", order.address, encoded.path);
-        curl_easy_setopt(transfer->easy, CURLOPT_URL, url.c_str());
-        curl_easy_setopt(transfer->easy, CURLOPT_PROXY, "");
-        curl_easy_setopt(transfer->easy, CURLOPT_NOSIGNAL, 1L);
+        this->begin(std::move(transfer), absl::StrCat("http://", order.address, encoded.path));
+    }
+
+    void handle(const InspectTarget &item)
+    {
+        const std::string path = this->edge.inspectionPath();
+        if (path.empty()) {
+            this->onControlEvent(InspectionEvent{item.target, item.start, {}});
+            return;
+        }
+        auto transfer = std::make_unique<OrderTransfer>();
+        transfer->call = item;
+        this->begin(std::move(transfer), absl::StrCat("http://", item.address, path));
+    }
+
+    void begin(std::unique_ptr<OrderTransfer> transfer, const std::string &url)
+    {
+        CURL *easy = curl_easy_init();
+        transfer->easy = easy;
+        curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         // An order is never sent twice by the library, so it never takes a used connection.
-        curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(transfer->easy, CURLOPT_FORBID_REUSE, 1L);
-        curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS, ORDER_TIMEOUT_MS);
-        curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
-        curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDSIZE,
-                         static_cast<long>(transfer->body.size()));
-        curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
-        curl_easy_setopt(transfer->easy, CURLOPT_WRITEFUNCTION, &appendAnswer);
-        curl_easy_setopt(transfer->easy, CURLOPT_WRITEDATA, &transfer->answer);
-        curl_multi_add_handle(this->multi, transfer->easy);
-        CURL *easy = transfer->easy;
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ORDER_TIMEOUT_MS);
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+        if (!transfer->body.empty()) {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+        }
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendAnswer);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->answer);
+        curl_multi_add_handle(this->multi, easy);
         this->orders[easy] = std::move(transfer);
     }
 
@@ -211,14 +242,17 @@
         long sent = 0;
         curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent);
-        OrderReply reply = OrderReply::Unknown;
-        const bool refused = code == CURLE_OK && status >= 400 && status < 500;
-        const bool unsent = code != CURLE_OK && sent == 0;
-        if (code == CURLE_OK && status >= 200 && status < 300)
-            reply = OrderReply::Accepted;
-        else if (refused || unsent)
-            reply = OrderReply::Refused;
-        this->onOrderReply({transfer.order.replica, transfer.order.order.fencing, reply});
+        if (const auto *inspected = std::get_if<InspectTarget>(&transfer.call)) {
+            InspectionEvent event{inspected->target, inspected->start, {}};
+            if (code == CURLE_OK && status == HTTP_OK)
+                event.inspection = this->edge.readInspection(transfer.answer);
+            this->onControlEvent(std::move(event));
+        } else {
+            const SendOrder &order = std::get<SendOrder>(transfer.call);
+            const bool unsent = code != CURLE_OK && sent == 0;
+            const OrderReply reply = unsent ? OrderReply::Refused : replyOf(code, status);
+            this->onControlEvent(OrderReplyEvent{order.replica, order.order.fencing, reply});
+        }
         curl_multi_remove_handle(this->multi, transfer.easy);
         curl_easy_cleanup(transfer.easy);
         curl_slist_free_all(transfer.headers);
@@ -240,7 +274,7 @@
     const Edge &edge;
     const std::string holder;
     OnAttemptEnded onAttemptEnded;
-    OnOrderReply onOrderReply;
+    OnControlEvent onControlEvent;
     BoundedRing<Task> ring;
     CURLM *multi;
     Transfers transfers;
@@ -251,9 +285,9 @@
 
 TargetClient::TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge,
                            std::string holder, OnAttemptEnded onAttemptEnded,
-                           OnOrderReply onOrderReply)
+                           OnControlEvent onControlEvent)
     : impl(std::make_unique<Impl>(std::move(exchanges), edge, std::move(holder),
-                                  std::move(onAttemptEnded), std::move(onOrderReply)))
+                                  std::move(onAttemptEnded), std::move(onControlEvent)))
 {
 }
 
@@ -279,6 +313,11 @@
     return this->impl->ring.tryPush(std::move(order));
 }
 
+bool TargetClient::inspect(InspectTarget item)
+{
+    return this->impl->ring.tryPush(std::move(item));
+}
+
 void TargetClient::stop()
 {
     this->impl->stop();
--- a/src/net/target_client_base.h
+++ b/src/net/target_client_base.h
@@ -16,11 +16,12 @@
 {
 public:
     using OnAttemptEnded = std::function<void(AttemptEnded &&)>;
-    using OnOrderReply = std::function<void(OrderReplyEvent &&)>;
+    /** Gets replies to orders and inspections. */
+    using OnControlEvent = std::function<void(ControlEvent &&)>;
 
     /** @param holder Name under which this process gives orders. */
     TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
-                 OnAttemptEnded onAttemptEnded, OnOrderReply onOrderReply);
+                 OnAttemptEnded onAttemptEnded, OnControlEvent onControlEvent);
     ~TargetClient();
     TargetClient(const TargetClient &) = delete;
     TargetClient &operator=(const TargetClient &) = delete;
@@ -30,6 +31,7 @@
     void cancel(AttemptId attempt);
     void retire(std::string address);
     bool sendOrder(SendOrder order);
+    bool inspect(InspectTarget item);
 
     void stop();
 
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t MAX_PLAIN_ANSWER_BYTES = 64 << 20;
 constexpr const char *EVENT_END = "\n\n";
+constexpr int SERVER_ERROR = 500; ///< Least such status.
 constexpr long CONNECT_TIMEOUT_MS = 2'000;
 
 curl_slist *addHeader(curl_slist *list, const std::string &name, const std::string &value)
@@ -268,6 +269,9 @@
     ended.status = this->status;
     ended.eventsRelayed = this->events;
     ended.connectionLost = ended.result == AttemptResult::Lost && code != CURLE_OPERATION_TIMEDOUT;
+    const bool failed = this->status >= SERVER_ERROR && this->attempt.holdFailures;
+    if (ended.result == AttemptResult::Answered && failed)
+        ended.result = AttemptResult::Failed;
     if (ended.result != AttemptResult::Answered)
         return ended;
     this->countTokens(ended);
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -55,7 +55,7 @@
         return std::nullopt;
     const auto history = pass.planner.history.find(replica.variant);
     const bool known = history != pass.planner.history.end();
-    if (known && history->second.waiting + history->second.running > 0)
+    if (known && history->second.waiting + history->second.running + history->second.returning > 0)
         return std::nullopt;
     const TimePoint lastUse
         = known ? std::max(history->second.lastUse, pass.planner.since) : pass.planner.since;
@@ -331,4 +331,75 @@
     }
 }
 
+namespace {
+
+/** @return The model asked for last that no target holds or has cached, if there is one. */
+const Model *missingModel(const Pass &pass)
+{
+    const Model *best = nullptr;
+    TimePoint bestUse;
+    for (const auto &[id, model] : pass.input.view.models) {
+        const auto counts = pass.counts.find({id, {}});
+        const bool held = counts != pass.counts.end() && counts->second.present > 0;
+        if (held || pass.cachedAt.contains(id) || pass.planner.failedUntil.contains({id, {}}))
+            continue;
+        const auto history = pass.planner.history.find({id, {}});
+        const TimePoint lastUse
+            = history == pass.planner.history.end() ? TimePoint{} : history->second.lastUse;
+        if (best == nullptr || lastUse > bestUse) {
+            best = &model;
+            bestUse = lastUse;
+        }
+    }
+    return best;
+}
+
+/** @return An idle model of the target that has no other replica and stays in its cache. */
+std::optional<std::size_t> cachedVictim(Pass &pass, TargetFacts &target)
+{
+    for (const std::size_t i : victims(pass, target)) {
+        const Replica &replica = pass.replicas[i].now();
+        const bool lone = pass.counts.at(replica.variant).present == 1;
+        const bool cached
+            = tierOf(target.announcement(), replica.variant.model) != CacheTier::Remote;
+        if (replica.variant.adapter.value.empty() && lone && cached)
+            return i;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void prefetch(Pass &pass)
+{
+    if (!storeHasRoom(pass))
+        return;
+    const Model *model = missingModel(pass);
+    if (model == nullptr)
+        return;
+    Need need;
+    need.variant = {model->id, {}};
+    need.version = model->version;
+    need.service = model->service;
+    need.memoryMb = model->memoryMb;
+    need.first = true;
+    std::vector<std::size_t> all;
+    for (std::size_t i = 0; i < pass.targets.size(); ++i) {
+        if (takesOrder(pass, pass.targets[i])
+            && pass.targets[i].announcement().service == need.service)
+            all.push_back(i);
+    }
+    if (const std::optional<std::size_t> target = chooseTarget(pass, need, all)) {
+        beginLoad(pass, need, *target);
+        return;
+    }
+    // One room at a time is enough to keep the store busy.
+    for (const std::size_t i : all) {
+        if (const std::optional<std::size_t> victim = cachedVictim(pass, pass.targets[i])) {
+            beginUnload(pass, *victim);
+            return;
+        }
+    }
+}
+
 } // namespace bilberry
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -3,6 +3,8 @@
 
 #include "state/view_func.h"
 
+#include <map>
+
 namespace bilberry {
 
 namespace {
@@ -10,45 +12,122 @@
 constexpr Duration FAILED_TARGET_PAUSE = 5s;
 constexpr Duration FAILED_VARIANT_PAUSE = 1s;
 
-} // namespace
+constexpr Duration REPORT_LAG = 700ms; ///< A target's word on itself is older than its answer.
+constexpr Duration INSPECTION_PAUSE = 500ms;
+
+bool isFenced(const PlacementView &input, const TargetId &target)
+{
+    const auto policy = input.view.targets.find(target);
+    return policy != input.view.targets.end() && policy->second.checksFencing;
+}
 
-std::vector<OutstandingOrder> dueOrders(Planner &planner, const PlacementView &input,
-                                        const std::function<bool(const Replica &)> &drained,
-                                        TimePoint now)
+OutstandingOrder makeOrder(const Replica &replica, TimePoint now)
 {
-    std::vector<OutstandingOrder> due;
+    OutstandingOrder order;
+    order.order.fencing = replica.fencing;
+    order.order.action
+        = replica.state == ReplicaState::Loading ? OrderAction::Load : OrderAction::Unload;
+    order.order.variant = replica.variant;
+    order.order.version = replica.version;
+    order.order.memoryMb = replica.memoryMb;
+    order.order.start = replica.start;
+    order.order.target = replica.target;
+    order.target = replica.target;
+    order.sentAt = now;
+    return order;
+}
+
+/** Pending replicas by target, for unfenced targets only the one with the least number. */
+std::vector<std::pair<const std::string *, const Replica *>>
+nextReplicas(const PlacementView &input)
+{
+    std::vector<std::pair<const std::string *, const Replica *>> out;
+    std::map<TargetId, std::size_t> first;
     for (const auto &[id, replica] : input.view.replicas) {
-        const bool pending = replica.state != ReplicaState::Ready;
-        const auto known = planner.orders.find(id);
+        if (replica.state == ReplicaState::Ready
+            || !input.registry.targets.contains(replica.target))
+            continue;
+        if (isFenced(input, replica.target)) {
+            out.emplace_back(&id, &replica);
+            continue;
+        }
+        const auto [it, added] = first.try_emplace(replica.target, out.size());
+        if (added)
+            out.emplace_back(&id, &replica);
+        else if (replica.fencing < out[it->second].second->fencing)
+            out[it->second] = {&id, &replica};
+    }
+    return out;
+}
+
+/** @return The accepted orders of the present start. */
+AcceptedOrders &acceptedBy(Planner &planner, const TargetId &target, StartNumber start)
+{
+    AcceptedOrders &accepted = planner.accepted[target];
+    if (accepted.start != start) {
+        accepted = {};
+        accepted.start = start;
+    }
+    return accepted;
+}
+
+/** @return Whether the count is known; otherwise the target is asked when that is of use. */
+bool knowsCount(Planner &planner, const Replica &replica, DueOrders &due, TimePoint now)
+{
+    AcceptedOrders &accepted = acceptedBy(planner, replica.target, replica.start);
+    if (accepted.count)
+        return true;
+    const bool settled = now >= accepted.uncertainSince + REPORT_LAG;
+    const bool asked = now < accepted.askedAt + INSPECTION_PAUSE;
+    if (settled && !asked) {
+        accepted.askedAt = now;
+        due.inspections.push_back(replica.target);
+    }
+    return false;
+}
+
+void forgetCount(Planner &planner, const OutstandingOrder &order, TimePoint now)
+{
+    AcceptedOrders &accepted = acceptedBy(planner, order.target, order.order.start);
+    accepted.count.reset();
+    accepted.uncertainSince = now;
+}
+
+} // namespace
+
+DueOrders dueOrders(Planner &planner, const PlacementView &input,
+                    const std::function<bool(const Replica &)> &drained, TimePoint now)
+{
+    DueOrders due;
+    for (const auto &[id, replica] : nextReplicas(input)) {
+        const auto known = planner.orders.find(*id);
         const bool ordered
-            = known != planner.orders.end() && known->second.order.fencing == replica.fencing;
-        if (!pending || ordered || !input.registry.targets.contains(replica.target))
+            = known != planner.orders.end() && known->second.order.fencing == replica->fencing;
+        if (ordered || planner.repeats.contains(*id))
             continue;
-        const auto policy = input.view.targets.find(replica.target);
-        const bool fenced = policy != input.view.targets.end() && policy->second.checksFencing;
+        const bool fenced = isFenced(input, replica->target);
         const Duration wait = fenced ? Duration::zero() : planner.tuning.inheritedOrderWait;
         if (now - planner.since < wait)
             continue;
-        if (replica.state == ReplicaState::Unloading && !drained(replica))
+        if (replica->state == ReplicaState::Unloading && !drained(*replica))
+            continue;
+        const bool inherited = replica->fencing <= planner.inherited;
+        const bool counts = planner.tuning.countsOrders && !fenced;
+        if (inherited && counts) {
+            planner.repeats.insert(*id); // An earlier leader may have used this number.
             continue;
-        OutstandingOrder order;
-        order.order.fencing = replica.fencing;
-        order.order.action
-            = replica.state == ReplicaState::Loading ? OrderAction::Load : OrderAction::Unload;
-        order.order.variant = replica.variant;
-        order.order.version = replica.version;
-        order.order.memoryMb = replica.memoryMb;
-        order.order.start = replica.start;
-        order.order.target = replica.target;
-        order.target = replica.target;
-        order.sentAt = now;
-        planner.orders[id] = order;
+        }
+        if (counts && !knowsCount(planner, *replica, due, now))
+            continue;
+        OutstandingOrder order = makeOrder(*replica, now);
+        if (counts)
+            order.order.precondition = planner.accepted[replica->target].count;
+        planner.orders[*id] = order;
         // An earlier leader may have sent this load to a target that would carry it out twice; its
         // inventory settles what became of it.
-        const bool inherited = replica.fencing <= planner.inherited;
-        if (inherited && !fenced && replica.state == ReplicaState::Loading)
+        if (inherited && !fenced && replica->state == ReplicaState::Loading)
             continue;
-        due.push_back(order);
+        due.orders.push_back(order);
     }
     return due;
 }
@@ -59,8 +138,18 @@
     const auto it = planner.orders.find(replica);
     if (it == planner.orders.end() || it->second.order.fencing != fencing)
         return {};
+    const bool counts = it->second.order.precondition.has_value();
     if (reply == OrderReply::Accepted) {
         it->second.answered = true;
+        if (counts)
+            planner.accepted[it->second.target].count = *it->second.order.precondition + 1;
+        return {};
+    }
+    if (counts && (reply == OrderReply::Unknown || reply == OrderReply::Busy)) {
+        // The number of orders makes a repeat safe: only one of the two can be accepted.
+        forgetCount(planner, it->second, now);
+        planner.orders.erase(it);
+        planner.repeats.insert(replica);
         return {};
     }
     if (reply == OrderReply::Unknown)
@@ -68,8 +157,19 @@
     planner.refusedUntil[it->second.target] = now + FAILED_TARGET_PAUSE;
     planner.failedUntil[it->second.order.variant] = now + FAILED_VARIANT_PAUSE;
     const bool wasLoad = it->second.order.action == OrderAction::Load;
+    if (counts)
+        forgetCount(planner, it->second, now);
     planner.orders.erase(it);
     return wasLoad ? std::vector<std::string>{replica} : std::vector<std::string>{};
 }
 
+void noteInspection(Planner &planner, const TargetId &target, StartNumber start,
+                    const std::optional<TargetInspection> &inspection, TimePoint now)
+{
+    AcceptedOrders &accepted = acceptedBy(planner, target, start);
+    accepted.askedAt = now;
+    if (inspection && !inspection->busy)
+        accepted.count = inspection->accepted;
+}
+
 } // namespace bilberry
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -19,6 +19,7 @@
     VariantHistory &history = planner.history[use.variant];
     history.waiting += sign * use.waiting;
     history.running += sign * use.running;
+    history.returning += sign * use.returning;
     for (const AccountDemand &account : use.accounts) {
         int &waiting = history.accounts[account.account];
         waiting += sign * account.demand;
@@ -28,7 +29,7 @@
     history.deadlines.erase(host);
     if (sign > 0 && use.earliestDeadlineIn)
         history.deadlines[host] = now + *use.earliestDeadlineIn;
-    if (history.waiting + history.running > 0)
+    if (history.waiting + history.running + history.returning > 0)
         planner.active.insert(use.variant);
     else
         planner.active.erase(use.variant);
@@ -49,7 +50,9 @@
 int busyRequests(const Planner &planner, const Variant &variant)
 {
     const auto it = planner.history.find(variant);
-    return it == planner.history.end() ? 0 : it->second.waiting + it->second.running;
+    return it == planner.history.end()
+        ? 0
+        : it->second.waiting + it->second.running + it->second.returning;
 }
 
 /** Requests that run on replicas of the variant; those for adapters count for their base too. */
@@ -240,6 +243,8 @@
     Pass pass = beginPass(planner, input, now);
     reconcile(pass);
     placeNeeds(pass, collectNeeds(pass));
+    if (planner.tuning.prefetches)
+        prefetch(pass);
     if (!pass.targets.empty())
         unloadIdle(pass);
     return std::move(pass.decision);
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -24,6 +24,8 @@
     Duration orderTimeout = 60s; ///< After that an order with unknown outcome is undone.
     Duration loadTimeout = 600s; ///< After that an accepted load is undone.
     Duration inheritedOrderWait = 3s; ///< A new leader waits this for the old one's last order.
+    bool countsOrders = false; ///< Orders name how many the target has accepted before.
+    bool prefetches = false; ///< Spare loads bring models to targets that no target has at hand.
     int requestsPerReplica = 6; ///< Waiting and running requests that call for one more replica.
 };
 
@@ -34,6 +36,7 @@
 {
     int waiting = 0;
     int running = 0;
+    int returning = 0; ///< Callers who were told to come back about now.
     TimePoint lastUse; ///< Last time it was in use or asked for.
     std::vector<Duration> gaps; ///< Latest gaps between uses, oldest first.
     std::map<HostId, TimePoint> deadlines; ///< Earliest of what waits at each host.
@@ -49,6 +52,15 @@
     bool answered = false; ///< The target accepted it.
 };
 
+/** How many orders one start of a target has accepted, as far as that is known. */
+struct AcceptedOrders
+{
+    StartNumber start;
+    std::optional<std::uint64_t> count; ///< Nothing: the target must be asked.
+    TimePoint uncertainSince; ///< When an order may have been on its way last.
+    TimePoint askedAt; ///< When the target was asked last.
+};
+
 /** Soft state of the planner; a new leader starts with an empty one. */
 struct Planner
 {
@@ -59,6 +71,8 @@
     std::map<HostId, std::vector<VariantUse>> hostUses; ///< Latest report of each host.
     std::set<Variant> active; ///< Variants with waiting or running requests.
     std::map<std::string, OutstandingOrder> orders; ///< By replicaId().
+    std::map<TargetId, AcceptedOrders> accepted;
+    std::set<std::string> repeats; ///< Replicas whose order is to be given anew.
     std::set<std::string> cachedLoads; ///< Replicas loading without the weight store.
     double storeCredit = 0; ///< Loads that may begin now.
     TimePoint storeCreditAt;
--- a/src/placement/planner_func.h
+++ b/src/placement/planner_func.h
@@ -32,18 +32,26 @@
 /** One pass over replicas and demand. @pre No earlier decision is still uncommitted. */
 PlacementDecision decide(Planner &planner, const PlacementView &input, TimePoint now);
 
+/** Orders that are to go out now, and targets that must be asked before they get one. */
+struct DueOrders
+{
+    std::vector<OutstandingOrder> orders;
+    std::vector<TargetId> inspections;
+};
+
 /**
- * Orders for committed replicas that have none yet.
+ * Orders for committed replicas that have none yet. A target that does not check fencing gets them
+ * one at a time in the order of their numbers.
  * @param drained Whether no host sends new work for the replica any more; needed to unload.
  */
-std::vector<OutstandingOrder> dueOrders(Planner &planner, const PlacementView &input,
-                                        const std::function<bool(const Replica &)> &drained,
-                                        TimePoint now);
+DueOrders dueOrders(Planner &planner, const PlacementView &input,
+                    const std::function<bool(const Replica &)> &drained, TimePoint now);
 
 /** Outcome of the HTTP call that carried an order. */
 enum class OrderReply {
     Accepted,
     Refused, ///< By the target's own word it was not carried out.
+    Busy, ///< The same, because of another order.
     Unknown,
 };
 
@@ -51,6 +59,10 @@
 std::vector<std::string> noteOrderReply(Planner &planner, const std::string &replica,
                                         FencingNumber fencing, OrderReply reply, TimePoint now);
 
+/** Notes what a target said when it was asked; nothing if it did not answer. */
+void noteInspection(Planner &planner, const TargetId &target, StartNumber start,
+                    const std::optional<TargetInspection> &inspection, TimePoint now);
+
 /** @return How long an idle replica of the variant is kept, from the variant's own gaps. */
 Duration keepWarmWindow(const Planner &planner, const Variant &variant);
 
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -88,6 +88,9 @@
 /** Loads what is needed, making room where there is none. */
 void placeNeeds(Pass &pass, const std::vector<Need> &needs);
 
+/** Uses spare loads of the weight store for a model that no target has at hand. */
+void prefetch(Pass &pass);
+
 /** Unloads replicas that were idle for longer than their window, or whose model is withdrawn. */
 void unloadIdle(Pass &pass);
 
--- a/src/placement/reconcile.cpp
+++ b/src/placement/reconcile.cpp
@@ -85,6 +85,18 @@
     }
 }
 
+/** Gives a decision a new number, under which its order may be given once more. */
+void renumber(Pass &pass, ReplicaFacts &facts)
+{
+    if (pass.planner.repeats.erase(*facts.id) == 0 || facts.gone
+        || facts.now().state == ReplicaState::Ready)
+        return;
+    facts.changed = facts.now();
+    facts.changed->fencing = FencingNumber(++pass.nextFencing.value);
+    pass.planner.orders.erase(*facts.id);
+    pass.decision.put.push_back(*facts.changed);
+}
+
 /** An order that nobody knows the outcome of is undone; its memory stays reserved meanwhile. */
 void undoLostOrder(Pass &pass, ReplicaFacts &facts)
 {
@@ -182,6 +194,7 @@
                 reconcileReplica(pass, facts, target);
             if (!facts.gone)
                 undoLostOrder(pass, facts);
+            renumber(pass, facts);
         }
         if (changed)
             adoptStrays(pass, i);
--- a/src/target/target_type.h
+++ b/src/target/target_type.h
@@ -49,6 +49,16 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CachedModel, model, tier)
 
+/** A variant whose load is under way; added by the leader, never announced. */
+struct LoadingVariant
+{
+    Variant variant;
+    Duration left{}; ///< Until it is expected to serve, when that was said.
+
+    friend bool operator==(const LoadingVariant &, const LoadingVariant &) = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LoadingVariant, variant, left)
+
 /** What a target announces, as documented in docs/API.md. */
 struct TargetAnnouncement
 {
@@ -62,6 +72,7 @@
     StartNumber start; ///< Grows with each start of the target.
     std::vector<LoadedVariant> loaded;
     std::vector<CachedModel> cached;
+    std::vector<LoadingVariant> loading;
     bool leaving = false; ///< Wants no new work.
     FencingNumber lastOrder; ///< Highest fencing number it has carried out.
     std::vector<FencingNumber> failedOrders; ///< Latest orders that it could not carry out.
@@ -72,8 +83,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetAnnouncement, id, address, kind, zone,
                                                 service, memoryMb, maxConcurrent, start, loaded,
-                                                cached, leaving, lastOrder, failedOrders, coldFor,
-                                                sequence)
+                                                cached, loading, leaving, lastOrder, failedOrders,
+                                                coldFor, sequence)
 
 /** @return Whether two announcements say the same, whatever their sequence numbers. */
 inline bool sameContent(const TargetAnnouncement &a, TargetAnnouncement b)
@@ -100,8 +111,16 @@
     std::int64_t memoryMb = 0;
     StartNumber start; ///< Start that the order is meant for.
     TargetId target; ///< Whom it is meant for.
+    std::optional<std::uint64_t> precondition; ///< Orders that the target has accepted so far.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Order, fencing, action, variant, version, memoryMb,
-                                                start, target)
+                                                start, target, precondition)
+
+/** What a target says of itself when it is asked. */
+struct TargetInspection
+{
+    std::uint64_t accepted = 0; ///< Orders that it has accepted since its start.
+    bool busy = false; ///< An order is being carried out.
+};
 
 } // namespace bilberry
--- /dev/null
+++ b/src/tests/order_test.cpp
@@ -0,0 +1,178 @@
+/** @file order_test.cpp Orders to targets that ignore fencing: one at a time, counted, repeated. */
+#include "placement/planner_func.h"
+#include "state/cluster_func.h"
+#include "state/view_func.h"
+#include "target/registry_func.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+const TargetId TARGET("t");
+
+Replica makeReplica(const std::string &model, std::uint64_t fencing, ReplicaState state)
+{
+    Replica replica;
+    replica.variant = {ModelId(model), {}};
+    replica.target = TARGET;
+    replica.start = StartNumber(1);
+    replica.fencing = FencingNumber(fencing);
+    replica.state = state;
+    replica.memoryMb = 10;
+    return replica;
+}
+
+/** Committed replicas of one target that ignores fencing and counts its orders. */
+struct Orders
+{
+    Orders()
+    {
+        TargetAnnouncement target;
+        target.id = TARGET;
+        target.memoryMb = 100;
+        target.start = StartNumber(1);
+        announce(this->registry, target, this->now);
+        this->planner.tuning.countsOrders = true;
+        this->planner.since = this->now - 10s;
+    }
+
+    void commit(const Replica &replica)
+    {
+        apply(this->cluster, {Duration::zero(), DecideReplicas{{replica}, {}}});
+    }
+
+    DueOrders due()
+    {
+        const PlacementView view{this->cluster.view, this->registry, this->cluster.lastFencing};
+        return dueOrders(
+            this->planner, view, [](const Replica &) { return true; }, this->now);
+    }
+
+    void answer(const OutstandingOrder &order, OrderReply reply)
+    {
+        noteOrderReply(this->planner, replicaId(TARGET, order.order.variant), order.order.fencing,
+                       reply, this->now);
+    }
+
+    void inspect(std::uint64_t accepted, bool busy = false)
+    {
+        noteInspection(this->planner, TARGET, StartNumber(1), TargetInspection{accepted, busy},
+                       this->now);
+    }
+
+    void decidePass()
+    {
+        const PlacementView view{this->cluster.view, this->registry, this->cluster.lastFencing};
+        const PlacementDecision decision = decide(this->planner, view, this->now);
+        apply(this->cluster, {Duration::zero(), DecideReplicas{decision.put, decision.gone}});
+    }
+
+    Cluster cluster;
+    TargetRegistry registry;
+    Planner planner;
+    TimePoint now{100s};
+};
+
+} // namespace
+
+Test(orders, several_decisions_for_one_target_go_out_in_the_order_of_their_numbers)
+{
+    Orders o;
+    o.inspect(0);
+    o.commit(makeReplica("z", 5, ReplicaState::Unloading));
+    o.commit(makeReplica("a", 7, ReplicaState::Loading));
+    const DueOrders first = o.due();
+    cr_assert_eq(first.orders.size(), 1);
+    cr_assert_eq(first.orders[0].order.fencing.value, 5);
+    cr_assert_eq(o.due().orders.size(), 0, "the next one waits until the first is settled");
+}
+
+Test(orders, a_target_is_asked_before_its_first_order_and_the_order_names_the_count)
+{
+    Orders o;
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    const DueOrders first = o.due();
+    cr_assert_eq(first.orders.size(), 0);
+    cr_assert_eq(first.inspections.size(), 1);
+    cr_assert_eq(o.due().inspections.size(), 0, "one question at a time");
+    o.inspect(3);
+    const DueOrders second = o.due();
+    cr_assert_eq(second.orders.size(), 1);
+    cr_assert_eq(second.orders[0].order.precondition.value(), 3);
+}
+
+Test(orders, an_order_without_an_answer_is_repeated_under_a_new_number_once_the_count_is_known)
+{
+    Orders o;
+    o.inspect(0);
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    o.answer(o.due().orders.at(0), OrderReply::Unknown);
+    cr_assert_eq(o.due().orders.size(), 0, "a late order may still be on its way");
+    o.decidePass();
+    cr_assert_eq(o.due().inspections.size(), 0, "a report would be older than the order");
+    o.now += 1s;
+    cr_assert_eq(o.due().inspections.size(), 1);
+    o.inspect(0);
+    const DueOrders repeat = o.due();
+    cr_assert_eq(repeat.orders.size(), 1);
+    cr_assert_gt(repeat.orders[0].order.fencing.value, 5);
+    cr_assert_eq(repeat.orders[0].order.precondition.value(), 0, "only one of the two can pass");
+}
+
+Test(orders, a_busy_target_is_asked_again_instead_of_losing_the_decision)
+{
+    Orders o;
+    o.inspect(0);
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    o.answer(o.due().orders.at(0), OrderReply::Busy);
+    o.decidePass();
+    o.now += 1s;
+    cr_assert_eq(o.due().inspections.size(), 1);
+    o.inspect(1, true);
+    cr_assert_eq(o.due().orders.size(), 0, "an order is under way there");
+}
+
+Test(orders, a_new_leader_gives_no_inherited_number_again)
+{
+    Orders o;
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    o.planner.inherited = FencingNumber(5);
+    o.inspect(1);
+    cr_assert_eq(o.due().orders.size(), 0);
+    o.decidePass();
+    const DueOrders due = o.due();
+    cr_assert_eq(due.orders.size(), 1);
+    cr_assert_gt(due.orders[0].order.fencing.value, 5);
+}
+
+Test(orders, spare_store_loads_bring_in_models_that_no_target_has_at_hand)
+{
+    Orders o;
+    o.planner.tuning.prefetches = true;
+    o.planner.storeCreditAt = o.now - 10s;
+    for (const char *name : {"held", "cached", "missing"}) {
+        Model model;
+        model.id = ModelId(name);
+        model.memoryMb = 80;
+        o.cluster.view.models[model.id] = model;
+    }
+    TargetAnnouncement target = o.registry.targets.at(TARGET).announcement;
+    target.loaded = {{{ModelId("held"), {}}, Version(1), 80}};
+    target.cached = {{ModelId("held"), CacheTier::Disk}, {ModelId("cached"), CacheTier::Disk}};
+    announce(o.registry, target, o.now);
+    o.now += 5s;
+    o.decidePass();
+    o.decidePass();
+    cr_assert_eq(o.cluster.view.replicas.at("t/held:").state, ReplicaState::Unloading,
+                 "it comes back from the disk whenever it is asked for");
+    target.loaded.clear();
+    announce(o.registry, target, o.now);
+    o.inspect(0);
+    o.answer(o.due().orders.at(0), OrderReply::Accepted);
+    o.decidePass();
+    o.decidePass();
+    cr_assert(o.cluster.view.replicas.contains("t/missing:"));
+    cr_assert_not(o.cluster.view.replicas.contains("t/cached:"));
+}
--- a/src/tests/placement_test.cpp
+++ b/src/tests/placement_test.cpp
@@ -63,7 +63,8 @@
         const PlacementDecision decision = decide(this->planner, before, this->now);
         apply(this->cluster, {Duration::zero(), DecideReplicas{decision.put, decision.gone}});
         return dueOrders(
-            this->planner, this->view(), [](const Replica &) { return true; }, this->now);
+                   this->planner, this->view(), [](const Replica &) { return true; }, this->now)
+            .orders;
     }
 
     PlacementView view() const
--- /dev/null
+++ b/src/tests/platform_test.cpp
@@ -0,0 +1,179 @@
+/** @file platform_test.cpp Translations of the platform's wire, without a network. */
+#include "net/http_server_base.h"
+#include "platform/edge_func.h"
+#include "platform/edge_internal.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+RawRequest makeRaw()
+{
+    RawRequest raw;
+    raw.method = "POST";
+    raw.target = "/lohu930/../2f?x=%2e%2e";
+    raw.headers = {{"Host", "ficu95.example:8080"},
+                   {"X-Bilberrybend-Request-Id", "9c41"},
+                   {"X-Bilberrybend-Model", "daka/a3"},
+                   {"X-Bilberrybend-Token-Count", "1460,80"},
+                   {"X-Bilberrybend-Prompt-Prefix", "5c:800,91:410,e4:250"},
+                   {"X-Bilberrybend-Deadline-Ms", "15000"},
+                   {"X-Bilberrybend-Tenant", "forged"},
+                   {"X-Bilberrybend-Hold", "forged"},
+                   {"Authorization", "Token secret"},
+                   {"Connection", "close, X-Private"},
+                   {"X-Private", "1"},
+                   {"X-Kept", "yes"}};
+    raw.body = "body";
+    return raw;
+}
+
+StartAttempt makeAttempt()
+{
+    StartAttempt attempt;
+    attempt.target = TargetId("i-1");
+    attempt.remaining = 900ms;
+    attempt.account = AccountId("hule");
+    return attempt;
+}
+
+const char *CONFIG = R"({"version":7,
+ "routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":15000,
+            "latencyGoalMs":600,"priority":1,"attempts":2,"public":false,"resumable":true,
+            "gapTargetMs":300,"split":[{"service":"s","weight":90},{"service":"p","weight":10}]}],
+ "services":[{"name":"s","coldPerS":12.0,"engine":{"weightsMb":230000.0,"adapterSlots":8,
+              "loadsPerS":3.7,"models":[{"name":"m","weightsMb":65099.99,"loadS":6.0,"diskS":1.6,
+              "adapters":2,"adapterMb":66.0}]}},{"name":"p"}],
+ "tenants":[{"name":"t","apiKeys":["k1"],"unit":"tokens","plainTokens":200,"ratePerS":100,
+             "burst":50}]})";
+
+std::string broken(const std::string &from, const std::string &to)
+{
+    std::string text = CONFIG;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+bool isValid(const std::string &text)
+{
+    std::string reason;
+    return platform::readConfig(text, reason).has_value();
+}
+
+} // namespace
+
+Test(platform, a_request_is_read_whole_and_its_bytes_are_kept)
+{
+    const ParsedRequest parsed = platformEdge().parseRequest(RequestId(1), makeRaw(), 0);
+    cr_assert_not(parsed.refusal);
+    cr_assert_eq(parsed.event.virtualHost, "ficu95.example");
+    cr_assert_eq(parsed.event.variant->adapter.value, "a3");
+    cr_assert_eq(*parsed.event.declaredTokens, 1540);
+    cr_assert(*parsed.event.timeLimit == 15s);
+    cr_assert_neq(parsed.event.prefix, 0);
+    cr_assert_eq(parsed.forwarded.path, "/lohu930/../2f?x=%2e%2e");
+    cr_assert_eq(parsed.forwarded.body, "body");
+}
+
+Test(platform, no_key_and_nothing_that_is_ours_to_set_passes_through)
+{
+    const ParsedRequest parsed = platformEdge().parseRequest(RequestId(1), makeRaw(), 0);
+    const HeaderList sent = platformEdge().attemptHeaders(parsed.forwarded, makeAttempt());
+    cr_assert_eq(headerOf(sent, "Authorization"), "");
+    cr_assert_eq(headerOf(sent, "X-Bilberrybend-Hold"), "");
+    cr_assert_eq(headerOf(sent, "X-Private"), "");
+    cr_assert_eq(headerOf(sent, "X-Kept"), "yes");
+    cr_assert_eq(headerOf(sent, "X-Bilberrybend-Tenant"), "hule");
+    cr_assert_eq(headerOf(sent, "X-Bilberrybend-Expect-Instance"), "i-1");
+    cr_assert_eq(headerOf(sent, "X-Bilberrybend-Deadline-Ms"), "900");
+}
+
+Test(platform, statuses_promise_only_what_is_true)
+{
+    const auto status = [](RefusalCode code, Execution execution) {
+        return platformEdge().encodeRefusal({RequestId(1), code, execution, {}}, "x").status;
+    };
+    cr_assert_eq(status(RefusalCode::Deadline, Execution::NotRun), 503);
+    cr_assert_eq(status(RefusalCode::Deadline, Execution::MayHaveRun), 504);
+    cr_assert_eq(status(RefusalCode::NoTarget, Execution::MayHaveRun), 502);
+    cr_assert_eq(status(RefusalCode::RateLimited, Execution::NotRun), 429);
+    const EncodedAnswer answer = platformEdge().encodeRefusal(
+        {RequestId(1), RefusalCode::NoTarget, Execution::NotRun, 1500ms}, "x");
+    cr_assert_eq(headerOf(answer.headers, "Retry-After"), "1.500");
+}
+
+Test(platform, only_the_sealed_answer_to_this_request_is_passed_on)
+{
+    const ParsedRequest parsed = platformEdge().parseRequest(RequestId(1), makeRaw(), 0);
+    const auto read = [&](int status, HeaderList headers) {
+        return platformEdge().readAnswerHead(parsed.forwarded, makeAttempt(), status, headers);
+    };
+    const HeaderList good{{"X-Bilberrybend-Request-Id", "9c41"},
+                          {"X-Bilberrybend-Server-Seal", "s"}};
+    cr_assert(read(200, good).own);
+    cr_assert_not(read(200, {{"X-Bilberrybend-Server-Seal", "s"}}).own);
+    cr_assert_not(read(200, {{"X-Bilberrybend-Request-Id", "9c41"}}).own);
+    HeaderList other = good;
+    other[0].second = "another";
+    cr_assert_not(read(200, other).own);
+    HeaderList encoded = good;
+    encoded.emplace_back("Content-Encoding", "gzip");
+    cr_assert_not(read(200, encoded).own);
+    cr_assert(read(503, {{"X-Bilberrybend-Not-Executed", "1"}}).notRun);
+    cr_assert_not(read(503, good).notRun);
+}
+
+Test(platform, event_numbers_are_read_from_whole_events)
+{
+    cr_assert_eq(*platformEdge().eventNumber("id: 12\ndata: x"), 12);
+    cr_assert_not(platformEdge().eventNumber("data: id: 3"));
+}
+
+Test(platform, a_heartbeat_names_a_target_or_nothing)
+{
+    const std::string good
+        = R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"draining",
+            "coldLeftMs":1500,"models":[{"name":"m","version":1,"adapters":["a1","a2@3"]}],
+            "atHand":{"inMemory":["m"],"onDisk":["n"]},"seqNo":4,"born":1700000000123})";
+    const auto read = platform::readHeartbeat("i-1", good);
+    cr_assert(read);
+    cr_assert(read->leaving);
+    cr_assert(read->coldFor == 1500ms);
+    cr_assert_eq(read->loaded.size(), 3);
+    cr_assert_eq(read->loaded[2].variant.adapter.value, "a2");
+    cr_assert_eq(read->cached.size(), 2);
+    cr_assert_eq(read->start.value, 1700000000123);
+    for (const char *bad :
+         {"", "{", "[]", "{\"service\":1}", R"({"service":"s","address":"x","zone":"z","slots":1,
+          "state":"ready","seqNo":1})",
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"state":"odd","seqNo":1})",
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"8","state":"ready"})"})
+        cr_assert_not(platform::readHeartbeat("i-1", bad));
+}
+
+Test(platform, a_configuration_is_taken_whole_or_not_at_all)
+{
+    std::string reason;
+    const auto read = platform::readConfig(CONFIG, reason);
+    cr_assert(read, "%s", reason.c_str());
+    cr_assert_eq(read->number.value, 7);
+    const Route &route = read->config.routes.begin()->second;
+    cr_assert_eq(route.split.size(), 2);
+    cr_assert_eq(route.patienceMs, 2400);
+    cr_assert(route.resumable && !route.repeatable);
+    const Account &account = read->config.accounts.begin()->second;
+    cr_assert(account.limitsTokens && !account.limitsRequests);
+    cr_assert_eq(read->config.models.at(ModelId("m")).memoryMb, 65100);
+    cr_assert_eq(read->config.keys.size(), 1);
+    cr_assert_not(isValid(std::string(CONFIG).substr(0, 300)));
+    cr_assert_not(isValid(broken("\"service\":\"s\"", "\"service\":\"q\"")));
+    cr_assert_not(isValid(broken("\"weight\":90", "\"weight\":-10")));
+    cr_assert_not(isValid(broken("\"timeoutMs\":15000", "\"timeoutMs\":0")));
+    cr_assert_not(isValid(broken("\"version\":7", "\"version\":\"7\"")));
+    cr_assert_not(isValid(broken("\"tenants\":[", R"("tenants":[{"name":"u","apiKeys":["k1"]},)")));
+    cr_assert_not(isValid(
+        broken("\"routes\":[", R"("routes":[{"name":"q","host":"h.example","pathPrefix":"/a/",
+        "kind":"safe","timeoutMs":1,"service":"p"},)")));
+}
--- /dev/null
+++ b/src/tests/route_test.cpp
@@ -0,0 +1,134 @@
+/** @file route_test.cpp Routes, whole configurations by number, patience of callers, members. */
+#include "replay/decision_loop_base.h"
+#include "state/cluster_func.h"
+#include "state/view_func.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+Route makeRoute(const std::string &host, const std::string &path, const std::string &service)
+{
+    Route route;
+    route.id = RouteId(host + path);
+    route.host = host;
+    route.path = path;
+    route.service = service;
+    route.open = true;
+    return route;
+}
+
+LoopTarget makeTarget(const std::string &id, const std::string &service)
+{
+    LoopTarget target;
+    target.announcement.id = TargetId(id);
+    target.announcement.kind = TargetKind::Service;
+    target.announcement.service = service;
+    target.announcement.start = StartNumber(1);
+    return target;
+}
+
+CallerRequest makeCall(const std::string &host, const std::string &path)
+{
+    CallerRequest request;
+    request.byRoute = true;
+    request.virtualHost = host;
+    request.path = path;
+    request.timeLimit = 2s;
+    return request;
+}
+
+ReplaceConfig makeReplacement(std::uint64_t number, const std::string &document)
+{
+    ReplaceConfig command;
+    command.number = Version(number);
+    command.document = document;
+    const Route route = makeRoute("h", "/" + document + "/", "s");
+    command.config.routes[route.id] = route;
+    return command;
+}
+
+} // namespace
+
+Test(routes, the_longest_prefix_of_the_named_host_wins)
+{
+    FolderConfig folder;
+    for (const Route &route : {makeRoute("h", "/a/", "short"), makeRoute("h", "/a/b/", "long"),
+                               makeRoute("other", "/a/b/c/", "other")})
+        folder.routes[route.id] = route;
+    DecisionLoop loop(1, folder, 1);
+    for (const char *service : {"short", "long", "other"})
+        loop.addTarget(makeTarget(service, service));
+    std::map<TargetId, int> seen;
+    for (auto &[id, target] : loop.targets)
+        target.answer = [&seen, id = id](const StartAttempt &attempt) {
+            ++seen[id];
+            AttemptEnded ended;
+            ended.attempt = attempt.attempt;
+            ended.result = AttemptResult::Answered;
+            ended.status = 200;
+            return ended;
+        };
+    loop.runUntil(TimePoint(5s));
+    loop.send(0, makeCall("h", "/a/b/c/d"), TimePoint(5s));
+    loop.send(0, makeCall("h", "/a/x"), TimePoint(5s));
+    const RequestId none = loop.send(0, makeCall("nobody", "/a/x"), TimePoint(5s));
+    loop.runUntil(TimePoint(8s));
+    cr_assert_eq(seen[TargetId("long")], 1);
+    cr_assert_eq(seen[TargetId("short")], 1);
+    cr_assert_eq(seen[TargetId("other")], 0);
+    cr_assert_eq(loop.answers.at({0, none}).refusal.code, RefusalCode::UnknownRoute);
+}
+
+Test(routes, a_whole_configuration_of_a_lower_number_is_acknowledged_and_changes_nothing)
+{
+    Cluster cluster;
+    cr_assert_eq(apply(cluster, {Duration::zero(), makeReplacement(7, "seven")}).error, Errc::Ok);
+    const Version version = cluster.version;
+    cr_assert_eq(apply(cluster, {Duration::zero(), makeReplacement(5, "five")}).error, Errc::Ok);
+    cr_assert_eq(apply(cluster, {Duration::zero(), makeReplacement(7, "other")}).error, Errc::Ok);
+    cr_assert_eq(cluster.document, "seven");
+    cr_assert(cluster.version == version);
+    cr_assert_eq(apply(cluster, {Duration::zero(), makeReplacement(9, "nine")}).error, Errc::Ok);
+    cr_assert_eq(cluster.view.routes.size(), 1);
+    cr_assert(cluster.view.routes.contains(RouteId("h/nine/")));
+}
+
+Test(routes, a_caller_who_would_leave_before_a_load_ends_is_told_at_once_when_to_come_back)
+{
+    // The pattern: short requests for rare models whose load takes longer than callers wait.
+    FolderConfig folder;
+    Route route = makeRoute("h", "/a/", "engines");
+    route.patienceMs = 2'400;
+    route.timeLimitMs = 15'000;
+    folder.routes[route.id] = route;
+    ServicePolicy service;
+    service.id = "engines";
+    service.memoryMb = 100;
+    folder.services[service.id] = service;
+    Model model;
+    model.id = ModelId("m");
+    model.service = "engines";
+    model.memoryMb = 10;
+    model.loadSeconds = 6;
+    model.cachedLoadSeconds = 1;
+    model.version = Version(0);
+    folder.models[model.id] = model;
+    DecisionLoop loop(1, folder, 1);
+    LoopTarget engine = makeTarget("e", "engines");
+    engine.announcement.kind = TargetKind::Engine;
+    engine.announcement.leaving = true; // Nothing is loaded meanwhile.
+    loop.addTarget(engine);
+    loop.runUntil(TimePoint(5s));
+    CallerRequest call = makeCall("h", "/a/x");
+    call.variant = Variant{model.id, {}};
+    call.timeLimit = 15s;
+    const RequestId id = loop.send(0, call, TimePoint(5s));
+    loop.runUntil(TimePoint(5100ms));
+    const LoopAnswer &answer = loop.answers.at({0, id});
+    cr_assert_eq(answer.refusal.execution, Execution::NotRun);
+    cr_assert(answer.at < TimePoint(5050ms));
+    cr_assert(answer.refusal.retryAfter && *answer.refusal.retryAfter >= 6s);
+}
