Add: [Log] A line for each decision; Change: [Placement] adapters do not wait for a model's load

Cause: nothing told why a request waited; adapter loads stood behind 6 s loads of models at the same engine. Change: decisions on requests, orders, targets and members are logged to standard output through a bounded queue that drops and counts; adapters are ordered while a model's load is under way, overtaken numbers are renewed.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -27,6 +27,8 @@
     leadership.registry.epoch = leadership.term;
     leadership.planner.since = now;
     leadership.planner.tuning = control.tuning;
+    if (leadership.term == 1)
+        leadership.planner.tuning.inheritedOrderWait = Duration::zero(); // Nobody led before.
     leadership.planner.inherited = control.cluster.lastFencing;
     leadership.planner.storeCreditAt = now;
     leadership.placementDue = now;
@@ -171,8 +173,10 @@
 void onLeaderTick(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
-    for (const TargetId &target : dropSilent(leadership.registry, now))
+    for (const TargetId &target : dropSilent(leadership.registry, now)) {
         leadership.slots.erase(target);
+        effects.notes.push_back({"targetSilent", {{"target", target}}});
+    }
     if (now >= leadership.lostHostsDue) {
         leadership.lostHostsDue = now + LOST_HOST_INTERVAL;
         dropLostHosts(control, effects, now);
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -90,6 +90,13 @@
     std::string address;
 };
 
+/** A change of what the member believes, for the log. */
+struct ControlNote
+{
+    std::string event;
+    nlohmann::json fields;
+};
+
 /** Everything that one event leads to. */
 struct ControlEffects
 {
@@ -98,6 +105,7 @@
     std::vector<ToHost> toHosts;
     std::vector<SendOrder> orders;
     std::vector<InspectTarget> inspections;
+    std::vector<ControlNote> notes;
     bool roleChanged = false;
 };
 
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -311,18 +311,35 @@
     return announcement;
 }
 
-void noteTargets(Control &control, const HostReport &report, HostGrant &grant, TimePoint now)
+nlohmann::json describe(const TargetAnnouncement &announcement)
+{
+    std::vector<std::string> loaded;
+    for (const LoadedVariant &item : announcement.loaded)
+        loaded.push_back(replicaId(TargetId(), item.variant));
+    return {{"target", announcement.id},         {"start", announcement.start},
+            {"sequence", announcement.sequence}, {"leaving", announcement.leaving},
+            {"loaded", std::move(loaded)},       {"cached", announcement.cached.size()}};
+}
+
+void noteTargets(Control &control, const HostReport &report, HostGrant &grant,
+                 ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
     for (const TargetAnnouncement &announcement : report.targets) {
         const AnnounceOutcome outcome = announce(leadership.registry, announcement, now);
         if (outcome == AnnounceOutcome::Restarted)
             leadership.slots.erase(announcement.id);
-        if (outcome == AnnounceOutcome::Restarted || outcome == AnnounceOutcome::Changed)
+        const bool news
+            = outcome == AnnounceOutcome::Restarted || outcome == AnnounceOutcome::Changed;
+        if (news)
+            effects.notes.push_back({"targetChanged", describe(announcement)});
+        if (news)
             leadership.placementDue = std::min(leadership.placementDue, now);
     }
-    for (const TargetId &target : report.targetsLeft)
+    for (const TargetId &target : report.targetsLeft) {
         noteLeft(leadership.registry, target);
+        effects.notes.push_back({"targetLeft", {{"target", target}}});
+    }
     for (const auto &[id, start] : report.alive) {
         const auto entry = leadership.registry.targets.find(id);
         if (entry != leadership.registry.targets.end() && entry->second.announcement.start == start)
@@ -461,7 +478,7 @@
     grant.sentAt = report.sentAt;
     grant.term = leadership.term;
     grant.clock = clusterTime(control, now);
-    noteTargets(control, report, grant, now);
+    noteTargets(control, report, grant, effects, now);
     noteUses(leadership.planner, report.holder.host, report.variants, now);
     const bool waits = std::any_of(report.variants.begin(), report.variants.end(),
                                    [](const VariantUse &use) { return use.waiting > 0; });
--- a/src/control/member_cmd.cpp
+++ b/src/control/member_cmd.cpp
@@ -105,6 +105,7 @@
     Result<ReplicaEffects> changed = changeMembership(control.replica, next, now);
     if (!changed)
         return false; // The learner lags or a change is open: tried again with the next tick.
+    effects.notes.push_back({"membersChanged", {{"members", next}}});
     absorb(control, std::move(changed).value(), effects, now);
     return true;
 }
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -129,7 +129,13 @@
                 (*inspection)(this->control);
                 continue;
             }
-            this->execute(step(this->control, std::get<ControlEvent>(task), MonotonicClock::now()));
+            const auto &event = std::get<ControlEvent>(task);
+            if (const auto *reply = std::get_if<OrderReplyEvent>(&event))
+                logDecision("orderAnswered",
+                            {{"replica", reply->replica},
+                             {"fencing", reply->fencing},
+                             {"reply", static_cast<int>(reply->reply)}});
+            this->execute(step(this->control, event, MonotonicClock::now()));
         }
         const TimePoint now = MonotonicClock::now();
         if (now < tickDue)
@@ -154,7 +160,14 @@
         this->writes.push(std::move(write));
     for (const ToHost &item : effects.toHosts)
         this->server->sendToHost(item.holder, item.message);
+    for (const ControlNote &note : effects.notes)
+        logDecision(note.event, note.fields);
     for (SendOrder &order : effects.orders) {
+        logDecision("orderSent",
+                    {{"replica", order.replica},
+                     {"action", order.order.action},
+                     {"fencing", order.order.fencing},
+                     {"accepted", order.order.precondition.value_or(0)}});
         const OrderReplyEvent unsent{order.replica, order.order.fencing, OrderReply::Refused};
         if (!this->orders.send(std::move(order)))
             this->post(unsent);
--- a/src/daemon/host_duty.cpp
+++ b/src/daemon/host_duty.cpp
@@ -229,10 +229,52 @@
     const TimePoint now = MonotonicClock::now();
     if (this->trace.is_open())
         this->trace << nlohmann::json{{"at", now}, {"event", event}}.dump() << "\n";
-    for (HostEffect &effect : step(this->host, event, now))
+    HostEffects effects = step(this->host, event, now);
+    this->logDecisions(event, effects, now);
+    for (HostEffect &effect : effects)
         this->execute(effect);
 }
 
+/** @return Caller's own id of a request; empty if it named none or is gone. */
+std::string HostDuty::tagOf(RequestId request) const
+{
+    const auto exchange = this->exchanges->find(request);
+    return exchange ? exchange->forwarded.correlation : "";
+}
+
+void HostDuty::logDecisions(const HostEvent &event, const HostEffects &effects, TimePoint now) const
+{
+    const auto inputs = [&](RequestId request) {
+        return nlohmann::json{{"request", request},
+                              {"tag", this->tagOf(request)},
+                              {"table", this->host.table},
+                              {"registry", this->host.registry},
+                              {"freshMs", (this->host.freshUntil - now).count() / 1000}};
+    };
+    if (const auto *ended = std::get_if<AttemptEnded>(&event); ended && ended->status != 200)
+        logDecision("attemptEnded",
+                    {{"attempt", ended->attempt},
+                     {"result", ended->result},
+                     {"status", ended->status},
+                     {"events", ended->eventsRelayed}});
+    for (const HostEffect &effect : effects) {
+        if (const auto *refusal = std::get_if<RefuseCaller>(&effect)) {
+            nlohmann::json line = inputs(refusal->request);
+            line["type"] = faceOf(refusal->code).type;
+            line["execution"] = refusal->execution;
+            line["retryAfterMs"] = refusal->retryAfter.value_or(Duration::zero()).count() / 1000;
+            logDecision("requestRefused", std::move(line));
+        } else if (const auto *start = std::get_if<StartAttempt>(&effect)) {
+            nlohmann::json line = inputs(start->request);
+            line["attempt"] = start->attempt;
+            line["target"] = start->target;
+            line["remainingMs"] = start->remaining.count() / 1000;
+            line["resumeAfter"] = start->resumeAfter;
+            logDecision("attemptStarted", std::move(line));
+        }
+    }
+}
+
 void HostDuty::execute(HostEffect &effect)
 {
     if (const auto *refusal = std::get_if<RefuseCaller>(&effect)) {
--- a/src/daemon/host_duty_base.h
+++ b/src/daemon/host_duty_base.h
@@ -71,6 +71,8 @@
     /** Closes the callers' port step by step during a graceful shutdown. */
     void followShutdown(TimePoint now);
     void handle(const HostEvent &event);
+    std::string tagOf(RequestId request) const;
+    void logDecisions(const HostEvent &event, const HostEffects &effects, TimePoint now) const;
     void execute(HostEffect &effect);
     void connectTo(std::string address, const std::vector<std::string> &known);
     void startAttempt(const StartAttempt &attempt);
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -1,45 +1,97 @@
 /** @file log.cpp Structured log lines by Boost.Log. */
 #include "core/log_func.h"
 
-#include <boost/log/attributes/constant.hpp>
+#include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <boost/log/utility/setup/file.hpp>
+#include <boost/make_shared.hpp>
 #include <chrono>
+#include <fstream>
 #include <iostream>
 
 namespace bilberry {
 
 namespace {
 
+constexpr std::size_t QUEUED_LINES = 4'096; ///< Further ones are dropped, never waited for.
+constexpr std::int64_t LINES_PER_SECOND = 400; ///< Of decisions; the rest of a second is counted.
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::asynchronous_sink<
+    Backend,
+    boost::log::sinks::bounded_fifo_queue<QUEUED_LINES, boost::log::sinks::drop_on_overflow>>;
+
 std::string hostName; // Set once by openLog().
+boost::shared_ptr<Sink> sink;
+std::atomic<std::int64_t> lineSecond{0};
+std::atomic<std::int64_t> linesInSecond{0};
+std::atomic<std::int64_t> linesLeftOut{0};
+
+boost::shared_ptr<std::ostream> openStream(const std::string &file)
+{
+    if (file.empty())
+        return boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter());
+    return boost::make_shared<std::ofstream>(file, std::ios::app);
+}
+
+std::int64_t unixMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+/** @return Whether one more decision may be logged in this second. */
+bool hasRoom(std::int64_t second)
+{
+    if (lineSecond.exchange(second) != second)
+        linesInSecond = 0;
+    return ++linesInSecond <= LINES_PER_SECOND;
+}
 
 } // namespace
 
 void openLog(const std::string &file, const std::string &host)
 {
-    namespace keywords = boost::log::keywords;
     hostName = host;
-    const auto format = boost::log::expressions::stream << boost::log::expressions::smessage;
-    if (file.empty())
-        boost::log::add_console_log(std::cerr, keywords::format = format,
-                                    keywords::auto_flush = true);
-    else
-        boost::log::add_file_log(keywords::file_name = file,
-                                 keywords::open_mode = std::ios_base::app,
-                                 keywords::format = format, keywords::auto_flush = true);
+    const auto backend = boost::make_shared<Backend>();
+    backend->add_stream(openStream(file));
+    backend->auto_flush(true);
+    sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+}
+
+void closeLog()
+{
+    if (!sink)
+        return;
+    sink->stop();
+    sink->flush();
+}
+
+void logDecision(const std::string &event, nlohmann::json fields)
+{
+    if (!hasRoom(unixMs() / 1000)) {
+        ++linesLeftOut;
+        return;
+    }
+    if (const std::int64_t leftOut = linesLeftOut.exchange(0); leftOut > 0)
+        fields["linesLeftOut"] = leftOut;
+    logChange(event, fields);
 }
 
 void logChange(const std::string &event, const nlohmann::json &fields)
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
     nlohmann::json line = fields;
     line["event"] = event;
     line["host"] = hostName;
-    line["unixMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    line["unixMs"] = unixMs();
     BOOST_LOG_TRIVIAL(info) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -177,6 +177,7 @@
               {{"callers", duties.host->callersPort()}, {"operators", operators.value()->port()}});
     waitForShutdown(duties);
     logChange("stopped");
+    closeLog();
     // Threads of libraries may still be in callbacks; nothing is left to be saved.
     std::cerr.flush();
     _exit(0);
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -12,9 +12,12 @@
 constexpr std::size_t ROOM_SEARCHES_PER_PASS = 8; ///< Bounds a pass; the rest follows in the next.
 constexpr int FENCED_ORDERS_AT_ONCE = 4;
 
-bool takesOrder(const Pass &pass, const TargetFacts &target)
+bool takesOrder(const Pass &pass, const TargetFacts &target, bool model)
 {
-    if (!target.serving || target.orders >= (target.fenced ? FENCED_ORDERS_AT_ONCE : 1))
+    const int orders = target.fenced ? target.modelOrders + target.adapterOrders
+        : model                      ? target.modelOrders
+                                     : target.adapterOrders;
+    if (!target.serving || orders >= (target.fenced ? FENCED_ORDERS_AT_ONCE : 1))
         return false;
     const auto refused = pass.planner.refusedUntil.find(target.announcement().id);
     if (refused != pass.planner.refusedUntil.end() && pass.now < refused->second)
@@ -106,7 +109,7 @@
     target.idle.reset();
     target.freeMb -= need.memoryMb;
     target.freeAdapters -= need.isModel() ? 0 : 1;
-    ++target.orders;
+    ++(need.isModel() ? target.modelOrders : target.adapterOrders);
     pass.replicas.push_back({&pass.newIds.back(), nullptr, replica, false});
     ++pass.counts[need.variant].present;
     pass.decision.put.push_back(replica);
@@ -163,7 +166,7 @@
     std::map<ZoneId, int> zones; // Counted only for further replicas.
     for (const std::size_t i : candidates) {
         const TargetFacts &target = pass.targets[i];
-        if (target.freeMb < need.memoryMb || !takesOrder(pass, target)
+        if (target.freeMb < need.memoryMb || !takesOrder(pass, target, need.isModel())
             || target.announcement().service != need.service
             || (!need.isModel() && target.freeAdapters < 1)
             || hasVariant(pass, target, need.variant))
@@ -229,7 +232,7 @@
     for (const std::size_t i : candidates) {
         TargetFacts &target = pass.targets[i];
         const CacheTier tier = tierOf(target.announcement(), need.variant.model);
-        if (!takesOrder(pass, target) || hasVariant(pass, target, need.variant)
+        if (!takesOrder(pass, target, need.isModel()) || hasVariant(pass, target, need.variant)
             || target.announcement().service != need.service
             || (onlyCached && tier == CacheTier::Remote))
             continue;
@@ -272,7 +275,8 @@
     facts.changed->state = ReplicaState::Unloading;
     facts.changed->fencing = FencingNumber(++pass.nextFencing.value);
     TargetFacts &target = pass.targets[pass.targetIndex.at(facts.changed->target)];
-    ++target.orders;
+    const bool isModel = facts.changed->variant.adapter.value.empty();
+    ++(isModel ? target.modelOrders : target.adapterOrders);
     target.idle.reset();
     VariantCounts &counts = pass.counts.at(facts.changed->variant);
     --counts.present;
@@ -284,7 +288,7 @@
 {
     std::vector<std::size_t> all;
     for (std::size_t i = 0; i < pass.targets.size(); ++i) {
-        if (takesOrder(pass, pass.targets[i]))
+        if (takesOrder(pass, pass.targets[i], true))
             all.push_back(i);
     }
     std::size_t searches = 0;
@@ -314,7 +318,7 @@
     const std::size_t count = std::min(pass.targets.size(), TARGETS_PER_PASS);
     for (std::size_t n = 0; n < count; ++n) {
         TargetFacts &target = pass.targets[++pass.planner.idleTurn % pass.targets.size()];
-        if (!takesOrder(pass, target))
+        if (!takesOrder(pass, target, true))
             continue;
         const std::vector<std::size_t> idle = victims(pass, target);
         for (const std::size_t i : idle) {
@@ -325,7 +329,8 @@
                 ? pass.planner.since
                 : std::max(history->second.lastUse, pass.planner.since);
             const bool over = pass.now - lastUse >= keepWarmWindow(pass.planner, replica.variant);
-            if ((withdrawn || over) && takesOrder(pass, target))
+            const bool isModel = replica.variant.adapter.value.empty();
+            if ((withdrawn || over) && takesOrder(pass, target, isModel))
                 beginUnload(pass, i);
         }
     }
@@ -385,7 +390,7 @@
     need.first = true;
     std::vector<std::size_t> all;
     for (std::size_t i = 0; i < pass.targets.size(); ++i) {
-        if (takesOrder(pass, pass.targets[i])
+        if (takesOrder(pass, pass.targets[i], true)
             && pass.targets[i].announcement().service == need.service)
             all.push_back(i);
     }
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -3,7 +3,9 @@
 
 #include "state/view_func.h"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 
 namespace bilberry {
 
@@ -37,25 +39,66 @@
     return order;
 }
 
-/** Pending replicas by target, for unfenced targets only the one with the least number. */
-std::vector<std::pair<const std::string *, const Replica *>>
-nextReplicas(const PlacementView &input)
+using PendingReplica = std::pair<const std::string *, const Replica *>;
+
+bool isModel(const Replica &replica)
+{
+    return replica.variant.adapter.value.empty();
+}
+
+/** @return The order under way for a pending replica, if there is one. */
+const OutstandingOrder *orderOf(const Planner &planner, const PendingReplica &pending)
+{
+    const auto known = planner.orders.find(*pending.first);
+    const bool same
+        = known != planner.orders.end() && known->second.order.fencing == pending.second->fencing;
+    return same ? &known->second : nullptr;
+}
+
+/**
+ * Orders to a target that ignores fencing wait for the answer to the one before. A model's order
+ * takes long after its answer: orders for adapters go on meanwhile, those for models don't.
+ * @param pending Pending replicas of one target by number.
+ * @return The next one to be ordered, if any.
+ */
+std::optional<PendingReplica> nextOf(const Planner &planner,
+                                     const std::vector<PendingReplica> &pending)
+{
+    bool modelUnderWay = false;
+    for (const PendingReplica &item : pending) {
+        const OutstandingOrder *order = orderOf(planner, item);
+        if (order != nullptr && !order->answered)
+            return std::nullopt;
+        modelUnderWay = modelUnderWay || (order != nullptr && isModel(*item.second));
+    }
+    for (const PendingReplica &item : pending) {
+        if (orderOf(planner, item) == nullptr && !(modelUnderWay && isModel(*item.second)))
+            return item;
+    }
+    return std::nullopt;
+}
+
+/** Pending replicas whose order may go out; at most one for each unfenced target. */
+std::vector<PendingReplica> nextReplicas(const Planner &planner, const PlacementView &input)
 {
-    std::vector<std::pair<const std::string *, const Replica *>> out;
-    std::map<TargetId, std::size_t> first;
+    std::vector<PendingReplica> out;
+    std::map<TargetId, std::vector<PendingReplica>> unfenced;
     for (const auto &[id, replica] : input.view.replicas) {
         if (replica.state == ReplicaState::Ready
             || !input.registry.targets.contains(replica.target))
             continue;
-        if (isFenced(input, replica.target)) {
+        if (isFenced(input, replica.target))
             out.emplace_back(&id, &replica);
-            continue;
-        }
-        const auto [it, added] = first.try_emplace(replica.target, out.size());
-        if (added)
-            out.emplace_back(&id, &replica);
-        else if (replica.fencing < out[it->second].second->fencing)
-            out[it->second] = {&id, &replica};
+        else
+            unfenced[replica.target].emplace_back(&id, &replica);
+    }
+    for (auto &[target, pending] : unfenced) {
+        std::sort(pending.begin(), pending.end(),
+                  [](const PendingReplica &a, const PendingReplica &b) {
+                      return a.second->fencing < b.second->fencing;
+                  });
+        if (const auto next = nextOf(planner, pending))
+            out.push_back(*next);
     }
     return out;
 }
@@ -99,7 +142,7 @@
                     const std::function<bool(const Replica &)> &drained, TimePoint now)
 {
     DueOrders due;
-    for (const auto &[id, replica] : nextReplicas(input)) {
+    for (const auto &[id, replica] : nextReplicas(planner, input)) {
         const auto known = planner.orders.find(*id);
         const bool ordered
             = known != planner.orders.end() && known->second.order.fencing == replica->fencing;
@@ -113,15 +156,21 @@
             continue;
         const bool inherited = replica->fencing <= planner.inherited;
         const bool counts = planner.tuning.countsOrders && !fenced;
-        if (inherited && counts) {
-            planner.repeats.insert(*id); // An earlier leader may have used this number.
+        const bool overtaken = counts
+            && replica->fencing < acceptedBy(planner, replica->target, replica->start).sent;
+        if ((inherited && counts) || overtaken) {
+            // An earlier leader may have used this number, or a higher one has gone out already.
+            planner.repeats.insert(*id);
             continue;
         }
         if (counts && !knowsCount(planner, *replica, due, now))
             continue;
         OutstandingOrder order = makeOrder(*replica, now);
-        if (counts)
-            order.order.precondition = planner.accepted[replica->target].count;
+        if (counts) {
+            AcceptedOrders &accepted = planner.accepted[replica->target];
+            order.order.precondition = accepted.count;
+            accepted.sent = replica->fencing;
+        }
         planner.orders[*id] = order;
         // An earlier leader may have sent this load to a target that would carry it out twice; its
         // inventory settles what became of it.
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -57,6 +57,7 @@
 {
     StartNumber start;
     std::optional<std::uint64_t> count; ///< Nothing: the target must be asked.
+    FencingNumber sent; ///< Highest number that has gone out.
     TimePoint uncertainSince; ///< When an order may have been on its way last.
     TimePoint askedAt; ///< When the target was asked last.
 };
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -29,7 +29,8 @@
     bool fenced = false;
     std::int64_t freeMb = 0;
     int freeAdapters = 0; ///< Places for further adapters.
-    int orders = 0; ///< Under way, or decided and not yet sent.
+    int modelOrders = 0; ///< Under way, or decided and not yet sent.
+    int adapterOrders = 0; ///< The same for adapters.
     std::vector<std::size_t> replicas; ///< Indices into Pass::replicas.
     std::optional<std::vector<std::size_t>> idle; ///< Memo: may go, the one least missed first.
 
--- a/src/placement/reconcile.cpp
+++ b/src/placement/reconcile.cpp
@@ -160,7 +160,8 @@
     const bool isModel = replica.variant.adapter.value.empty();
     target.freeMb -= replica.memoryMb;
     target.freeAdapters -= isModel ? 0 : 1;
-    target.orders += replica.state == ReplicaState::Ready ? 0 : 1;
+    if (replica.state != ReplicaState::Ready)
+        ++(isModel ? target.modelOrders : target.adapterOrders);
     if (replica.state == ReplicaState::Loading) {
         pass.adapterLoads += isModel ? 0 : 1;
         pass.storeLoads += isModel && !pass.planner.cachedLoads.contains(*facts.id) ? 1 : 0;
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -89,6 +89,29 @@
     cr_assert_eq(o.due().orders.size(), 0, "the next one waits until the first is settled");
 }
 
+Test(orders, an_adapter_does_not_wait_for_a_long_load_and_no_lower_number_follows_it)
+{
+    Orders o;
+    o.inspect(0);
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    o.answer(o.due().orders.at(0), OrderReply::Accepted);
+    o.commit(makeReplica("b", 6, ReplicaState::Loading));
+    Replica adapter = makeReplica("c", 7, ReplicaState::Loading);
+    adapter.variant.adapter = AdapterId("x");
+    o.commit(adapter);
+    const DueOrders second = o.due();
+    cr_assert_eq(second.orders.size(), 1);
+    cr_assert_eq(second.orders[0].order.fencing.value, 7, "the second model waits for the first");
+    o.answer(second.orders[0], OrderReply::Accepted);
+    Replica loaded = makeReplica("a", 5, ReplicaState::Ready);
+    o.commit(loaded);
+    cr_assert_eq(o.due().orders.size(), 0, "6 was overtaken by 7");
+    o.decidePass();
+    const DueOrders third = o.due();
+    cr_assert_eq(third.orders.size(), 1);
+    cr_assert_gt(third.orders[0].order.fencing.value, 7);
+}
+
 Test(orders, a_target_is_asked_before_its_first_order_and_the_order_names_the_count)
 {
     Orders o;
