Fix: [Host] Declared tokens were given back; Fix: [Control] a new leader reused fencing numbers

Needs are ranked by demand and age, room is kept for whom it was made, the number is read once all earlier entries are applied, what waits at the end of a drain is sent to another host.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -29,7 +29,6 @@
     leadership.planner.tuning = control.tuning;
     if (leadership.term == 1)
         leadership.planner.tuning.inheritedOrderWait = Duration::zero(); // Nobody led before.
-    leadership.planner.inherited = control.cluster.lastFencing;
     leadership.planner.storeCreditAt = now;
     leadership.placementDue = now;
     leadership.expireDue = now + EXPIRE_INTERVAL;
@@ -173,6 +172,10 @@
 void onLeaderTick(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
+    if (!leadership.active) {
+        leadership.active = true;
+        leadership.planner.inherited = control.cluster.lastFencing;
+    }
     for (const TargetId &target : dropSilent(leadership.registry, now)) {
         leadership.slots.erase(target);
         effects.notes.push_back({"targetSilent", {{"target", target}}});
@@ -213,6 +216,9 @@
     if (!adapter)
         return;
     const Order &order = known->second.order;
+    // An adapter in use goes later; the target's announcements will tell.
+    if (order.action == OrderAction::Unload && !event.done)
+        return;
     const bool loads = order.action == OrderAction::Load;
     leadership.assumptions.push_back({now + (loads ? ADAPTER_LOAD : Duration::zero()), order.target,
                                       order.start, order.variant, order.version, loads});
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -108,6 +108,7 @@
     std::map<Digest, CrashRecord> crashes;
     std::uint64_t suspectsVersion = 1; ///< Of the keys of @c crashes.
     Planner planner;
+    bool active = false; ///< All entries of earlier leaders are applied.
     bool placementPending = false;
     TimePoint placementDue;
     TimePoint expireDue;
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -35,6 +35,7 @@
     std::string replica; ///< replicaId().
     FencingNumber fencing;
     OrderReply reply = OrderReply::Unknown;
+    bool done = false; ///< Accepted, and carried out already.
 };
 
 /** What a target said when it was asked; nothing if it did not answer. */
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -120,7 +120,7 @@
 void runPlacement(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
-    if (leadership.placementPending)
+    if (leadership.placementPending || !leadership.active)
         return;
     sendDueOrders(control, effects, now);
     // Inventories come first: a new leader decides only once living targets were heard.
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -57,7 +57,8 @@
         return control.error();
     duty->control = std::move(control).value();
     duty->control.votersWanted = settings.voters;
-    duty->control.tuning.countsOrders = settings.edge == EdgeKind::Platform;
+    if (settings.edge == EdgeKind::Platform)
+        duty->control.tuning = makeSwapTuning();
     duty->control.tuning.prefetches = settings.prefetch;
     ControlDuty *self = duty.get();
     BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
--- a/src/daemon/host_duty.cpp
+++ b/src/daemon/host_duty.cpp
@@ -242,11 +242,19 @@
     return exchange ? exchange->forwarded.correlation : "";
 }
 
+/** @return Model and adapter that a request names; empty if there are none or it is gone. */
+std::string HostDuty::variantOf(RequestId request) const
+{
+    const auto exchange = this->exchanges->find(request);
+    return exchange ? exchange->forwarded.variant : "";
+}
+
 void HostDuty::logDecisions(const HostEvent &event, const HostEffects &effects, TimePoint now) const
 {
     const auto inputs = [&](RequestId request) {
         return nlohmann::json{{"request", request},
                               {"tag", this->tagOf(request)},
+                              {"variant", this->variantOf(request)},
                               {"table", this->host.table},
                               {"registry", this->host.registry},
                               {"freshMs", (this->host.freshUntil - now).count() / 1000}};
--- a/src/daemon/host_duty_base.h
+++ b/src/daemon/host_duty_base.h
@@ -72,6 +72,7 @@
     void followShutdown(TimePoint now);
     void handle(const HostEvent &event);
     std::string tagOf(RequestId request) const;
+    std::string variantOf(RequestId request) const;
     void logDecisions(const HostEvent &event, const HostEffects &effects, TimePoint now) const;
     void execute(HostEffect &effect);
     void connectTo(std::string address, const std::vector<std::string> &known);
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -169,7 +169,8 @@
     Check check;
     check.request.asked = asked;
     check.request.arrived = now;
-    if (host.leaving && now >= host.leavingSince + host.settings.drain + LEAVING_GRACE)
+    const Duration grace = asked.byRoute ? Duration::zero() : LEAVING_GRACE;
+    if (host.leaving && now >= host.leavingSince + host.settings.drain + grace)
         check.refusal = RefusalCode::ShuttingDown;
     else if (!isFresh(host, now))
         check.refusal = RefusalCode::Unreachable;
@@ -219,7 +220,10 @@
             || now < std::max(request.arrived, *held.shortSince) + BUDGET_PATIENCE;
         if (patient)
             return;
-        const bool requestsShort = held.requests.balance() < 1;
+        const auto account = host.view.accounts.find(request.account);
+        const bool limitsRequests
+            = account == host.view.accounts.end() || account->second.limitsRequests;
+        const bool requestsShort = limitsRequests && held.requests.balance() < 1;
         refuse(host, id, requestsShort ? RefusalCode::RateLimited : RefusalCode::TokenRateLimited,
                effects, now,
                std::max<Duration>(requestsShort ? held.requestWait : held.tokenWait, 1ms));
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -26,6 +26,9 @@
 {
     if (!request.charged)
         return;
+    // What the caller declared is what counts, however little was generated.
+    if (request.asked.declaredTokens || request.asked.byRoute)
+        tokensUsed = request.estimate;
     HeldAccount &held = host.accounts[request.account];
     if (!ran && !request.maySent) {
         held.requests.spent -= 1;
@@ -57,6 +60,7 @@
 }
 
 constexpr std::size_t MAX_RETURNS = 1'000;
+constexpr Duration ANOTHER_HOST = 50ms; ///< Another host can serve at once.
 constexpr Duration DEFAULT_RETURN = 1s; ///< Where nothing tells when there will be room.
 
 } // namespace
@@ -119,9 +123,24 @@
     }
 }
 
+/** Once the drain is over, what still waits is better off at another host. */
+void sweepLeaving(Host &host, HostEffects &effects, TimePoint now)
+{
+    if (!host.leaving || now < host.leavingSince + host.settings.drain)
+        return;
+    std::vector<RequestId> waiting;
+    for (const auto &[id, request] : host.requests) {
+        if (request.asked.byRoute && request.state != RequestState::Running)
+            waiting.push_back(id);
+    }
+    for (const RequestId id : waiting)
+        refuse(host, id, RefusalCode::ShuttingDown, effects, now, ANOTHER_HOST);
+}
+
 void sweepDeadlines(Host &host, HostEffects &effects, TimePoint now)
 {
     sweepWaits(host, effects, now);
+    sweepLeaving(host, effects, now);
     while (!host.deadlines.empty()) {
         const auto [deadline, id] = *host.deadlines.begin();
         if (now < deadline - ANSWER_MARGIN)
--- a/src/net/exchange_base.h
+++ b/src/net/exchange_base.h
@@ -20,6 +20,7 @@
     std::string method = "POST";
     std::string path; ///< With the query.
     HeaderList headers; ///< Passed on as they came.
+    std::string variant; ///< Model and adapter, for logs.
     std::string correlation; ///< Caller's own id of the request; empty: none.
     std::string body;
     bool streamed = false;
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -251,7 +251,8 @@
             const SendOrder &order = std::get<SendOrder>(transfer.call);
             const bool unsent = code != CURLE_OK && sent == 0;
             const OrderReply reply = unsent ? OrderReply::Refused : replyOf(code, status);
-            this->onControlEvent(OrderReplyEvent{order.replica, order.order.fencing, reply});
+            const bool done = code == CURLE_OK && status == HTTP_OK;
+            this->onControlEvent(OrderReplyEvent{order.replica, order.order.fencing, reply, done});
         }
         curl_multi_remove_handle(this->multi, transfer.easy);
         curl_easy_cleanup(transfer.easy);
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t ROOM_SEARCHES_PER_PASS = 8; ///< Bounds a pass; the rest follows in the next.
+constexpr Duration ROOM_RESERVATION = 2s; ///< Longer than an unload usually takes.
 constexpr int FENCED_ORDERS_AT_ONCE = 4;
 
 bool takesOrder(const Pass &pass, const TargetFacts &target, bool model)
@@ -25,6 +26,14 @@
     return target.fenced || pass.now - pass.planner.since >= pass.planner.tuning.inheritedOrderWait;
 }
 
+/** @return Whether room on the target was made for another variant. */
+bool isReserved(const Pass &pass, const TargetFacts &target, const Variant &variant)
+{
+    const auto room = pass.planner.rooms.find(target.announcement().id);
+    return room != pass.planner.rooms.end() && pass.now < room->second.until
+        && room->second.variant != variant;
+}
+
 bool hasVariant(const Pass &pass, const TargetFacts &target, const Variant &variant)
 {
     return std::any_of(target.replicas.begin(), target.replicas.end(),
@@ -105,6 +114,9 @@
     replica.version = need.version;
     replica.memoryMb = need.memoryMb;
     pass.newIds.push_back(replicaId(replica.target, need.variant));
+    const auto room = pass.planner.rooms.find(replica.target);
+    if (room != pass.planner.rooms.end() && room->second.variant == need.variant)
+        pass.planner.rooms.erase(room);
     target.replicas.push_back(pass.replicas.size());
     target.idle.reset();
     target.freeMb -= need.memoryMb;
@@ -169,6 +181,7 @@
         if (target.freeMb < need.memoryMb || !takesOrder(pass, target, need.isModel())
             || target.announcement().service != need.service
             || (!need.isModel() && target.freeAdapters < 1)
+            || (need.isModel() && isReserved(pass, target, need.variant))
             || hasVariant(pass, target, need.variant))
             continue;
         int inZone = 0;
@@ -228,12 +241,14 @@
               bool onlyCached)
 {
     std::optional<std::vector<std::size_t>> best;
+    const TargetFacts *bestTarget = nullptr;
     int bestTier = 0;
     for (const std::size_t i : candidates) {
         TargetFacts &target = pass.targets[i];
         const CacheTier tier = tierOf(target.announcement(), need.variant.model);
         if (!takesOrder(pass, target, need.isModel()) || hasVariant(pass, target, need.variant)
             || target.announcement().service != need.service
+            || (need.isModel() && isReserved(pass, target, need.variant))
             || (onlyCached && tier == CacheTier::Remote))
             continue;
         std::optional<std::vector<std::size_t>> chosen = roomOn(pass, target, need);
@@ -246,11 +261,15 @@
                 < std::make_pair(bestTier, best->size());
         if (better) {
             best = std::move(chosen);
+            bestTarget = &target;
             bestTier = static_cast<int>(tier);
         }
     }
     if (!best)
         return false;
+    if (need.isModel())
+        pass.planner.rooms[bestTarget->announcement().id]
+            = {need.variant, pass.now + ROOM_RESERVATION};
     for (const std::size_t victim : *best)
         beginUnload(pass, victim);
     return true;
@@ -377,7 +396,8 @@
 
 void prefetch(Pass &pass)
 {
-    if (!storeHasRoom(pass))
+    // Before anything was asked for, nothing tells which models are idle.
+    if (!storeHasRoom(pass) || pass.planner.history.empty())
         return;
     const Model *model = missingModel(pass);
     if (model == nullptr)
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr double WAIT_WEIGHT = 2; ///< A second of waiting counts like so many requests.
 constexpr double LOAD_CHARGE_DECAY = 0.97; ///< Per pass; spreads loads over accounts.
 
 /** Adds or takes off what one host reported of a variant. */
@@ -95,6 +96,13 @@
     }
 }
 
+/** @return How long the variant has been wanted, in seconds times their weight. */
+double waitedSeconds(const Pass &pass, const Variant &variant)
+{
+    const auto [since, added] = pass.planner.wantedSince.try_emplace(variant, pass.now);
+    return WAIT_WEIGHT * toSeconds(pass.now - since->second);
+}
+
 void addNeed(const Pass &pass, const Variant &variant, std::vector<Need> &needs)
 {
     const auto model = pass.input.view.models.find(variant.model);
@@ -112,6 +120,7 @@
     need.service = model->second.service;
     need.memoryMb = need.isModel() ? model->second.memoryMb : model->second.adapterMemoryMb;
     need.first = present == 0;
+    need.urgency = busyOn(pass.planner, variant) + waitedSeconds(pass, variant);
     noteWaiting(pass, variant, need);
     if (need.isModel()) {
         for (auto it = pass.planner.active.upper_bound(variant);
@@ -136,6 +145,16 @@
     std::vector<Need> needs;
     for (const Variant &variant : asked)
         addNeed(pass, variant, needs);
+    std::erase_if(pass.planner.wantedSince, [&](const auto &item) {
+        return std::none_of(needs.begin(), needs.end(),
+                            [&](const Need &need) { return need.variant == item.first; });
+    });
+    if (pass.planner.tuning.ranksByDemand) {
+        std::stable_sort(needs.begin(), needs.end(), [](const Need &a, const Need &b) {
+            return std::make_pair(!a.first, -a.urgency) < std::make_pair(!b.first, -b.urgency);
+        });
+        return needs;
+    }
     std::sort(needs.begin(), needs.end(), [](const Need &a, const Need &b) {
         const auto rank = [](const Need &need) {
             return std::make_tuple(!need.first, std::floor(need.charge / 2), need.deadline);
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -25,12 +25,23 @@
     Duration loadTimeout = 600s; ///< After that an accepted load is undone.
     Duration inheritedOrderWait = 3s; ///< A new leader waits this for the old one's last order.
     bool countsOrders = false; ///< Orders name how many the target has accepted before.
+    bool ranksByDemand = false; ///< Most wanted first, in place of fewest loads and deadline.
     bool prefetches = false; ///< Spare loads bring models to targets that no target has at hand.
     int requestsPerReplica = 6; ///< Waiting and running requests that call for one more replica.
 };
 
 constexpr std::size_t MAX_GAPS_KEPT = 32;
 
+/** @return Tuning for targets that keep copies of many models and load them within seconds. */
+inline PlannerTuning makeSwapTuning()
+{
+    PlannerTuning tuning;
+    tuning.countsOrders = true;
+    tuning.victimIdle = 300ms;
+    tuning.ranksByDemand = true;
+    return tuning;
+}
+
 /** What is known of one variant's use; totals over the latest reports of all hosts. */
 struct VariantHistory
 {
@@ -52,6 +63,13 @@
     bool answered = false; ///< The target accepted it.
 };
 
+/** Room on a target that only one variant may take for a while. */
+struct RoomReservation
+{
+    Variant variant;
+    TimePoint until;
+};
+
 /** How many orders one start of a target has accepted, as far as that is known. */
 struct AcceptedOrders
 {
@@ -74,6 +92,8 @@
     std::map<std::string, OutstandingOrder> orders; ///< By replicaId().
     std::map<TargetId, AcceptedOrders> accepted;
     std::set<std::string> repeats; ///< Replicas whose order is to be given anew.
+    std::map<Variant, TimePoint> wantedSince; ///< Since when a variant lacks a replica.
+    std::map<TargetId, RoomReservation> rooms; ///< Room that was made for a variant.
     std::set<std::string> cachedLoads; ///< Replicas loading without the weight store.
     double storeCredit = 0; ///< Loads that may begin now.
     TimePoint storeCreditAt;
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -52,6 +52,7 @@
     std::string service; ///< Of the engines that may serve it.
     std::int64_t memoryMb = 0;
     TimePoint deadline = TimePoint::max();
+    double urgency = 0; ///< Requests that want it and the seconds that they have wanted it.
     double charge = 0; ///< Least of the recent loads of the accounts that ask.
     std::set<AccountId> accounts; ///< Who asks.
     bool first = false; ///< There is no replica at all.
--- a/src/tests/member_test.cpp
+++ b/src/tests/member_test.cpp
@@ -230,6 +230,37 @@
     cr_assert(group.voters().contains(group.daemons.back().member));
 }
 
+Test(members, a_new_leader_knows_the_last_fencing_number_before_it_places_anything)
+{
+    Group group;
+    group.runFor(3s);
+    Daemon *first = group.leader();
+    Replica replica;
+    replica.target = TargetId("t");
+    replica.variant = {ModelId("m"), {}};
+    replica.fencing = FencingNumber(9);
+    ReplicaEffects proposed;
+    LogIndex index = 0;
+    proposed = propose(first->control->replica,
+                       encode(Command{Duration::zero(), DecideReplicas{{replica}, {}}}), index,
+                       group.now)
+                   .value();
+    ControlEffects effects;
+    effects.toMembers = proposed.sendNow;
+    effects.journal.push_back({{}, proposed.append, {}, {}});
+    group.take(*first, effects);
+    group.runFor(200ms);
+    for (Daemon &daemon : group.daemons)
+        group.kill(daemon);
+    group.runFor(500ms);
+    for (Daemon &daemon : group.daemons)
+        group.start(daemon);
+    group.runFor(3s);
+    const Control &control = *group.leader()->control;
+    cr_assert_eq(control.cluster.lastFencing.value, 9);
+    cr_assert_eq(control.leadership->planner.inherited.value, 9);
+}
+
 Test(members, a_spare_member_waits_while_all_voters_live)
 {
     Group group;
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -170,6 +170,42 @@
     cr_assert_gt(due.orders[0].order.fencing.value, 5);
 }
 
+Test(orders, the_model_that_most_callers_want_gets_the_room_that_was_made_for_it)
+{
+    // The pattern: demand moves to other models while callers are told to come back.
+    Orders o;
+    o.planner.tuning = makeSwapTuning();
+    for (const char *name : {"idle", "hot", "rare"}) {
+        Model model;
+        model.id = ModelId(name);
+        model.memoryMb = 80;
+        o.cluster.view.models[model.id] = model;
+    }
+    TargetAnnouncement target = o.registry.targets.at(TARGET).announcement;
+    target.loaded = {{{ModelId("idle"), {}}, Version(1), 80}};
+    target.cached = {{ModelId("hot"), CacheTier::Disk}, {ModelId("rare"), CacheTier::Disk}};
+    announce(o.registry, target, o.now);
+    VariantUse hot;
+    hot.variant = {ModelId("hot"), {}};
+    hot.returning = 20;
+    VariantUse rare;
+    rare.variant = {ModelId("rare"), {}};
+    rare.waiting = 1;
+    rare.earliestDeadlineIn = 1s;
+    noteUses(o.planner, HostId("h"), {hot, rare}, o.now);
+    o.now += 1s;
+    o.decidePass();
+    o.decidePass();
+    o.inspect(0);
+    o.answer(o.due().orders.at(0), OrderReply::Accepted);
+    target.loaded.clear();
+    announce(o.registry, target, o.now);
+    o.decidePass();
+    o.decidePass();
+    cr_assert(o.cluster.view.replicas.contains("t/hot:"));
+    cr_assert_not(o.cluster.view.replicas.contains("t/rare:"));
+}
+
 Test(orders, spare_store_loads_bring_in_models_that_no_target_has_at_hand)
 {
     Orders o;
@@ -185,6 +221,7 @@
     target.loaded = {{{ModelId("held"), {}}, Version(1), 80}};
     target.cached = {{ModelId("held"), CacheTier::Disk}, {ModelId("cached"), CacheTier::Disk}};
     announce(o.registry, target, o.now);
+    o.planner.history[{ModelId("held"), {}}].lastUse = o.now;
     o.now += 5s;
     o.decidePass();
     o.decidePass();
--- a/src/tests/route_test.cpp
+++ b/src/tests/route_test.cpp
@@ -96,6 +96,66 @@
     cr_assert(cluster.view.routes.contains(RouteId("h/nine/")));
 }
 
+Test(routes, declared_tokens_are_charged_in_full_over_all_hosts)
+{
+    FolderConfig folder;
+    Route route = makeRoute("h", "/a/", "s");
+    route.open = false;
+    route.repeatable = true;
+    folder.routes[route.id] = route;
+    Account account;
+    account.id = AccountId("t");
+    account.limitsRequests = false;
+    account.tokensPerSecond = 1'000;
+    account.tokenBurst = 2'000;
+    folder.accounts[account.id] = account;
+    DecisionLoop loop(3, folder, 1);
+    std::int64_t ran = 0;
+    LoopTarget target = makeTarget("s", "s");
+    target.announcement.maxConcurrent = 100;
+    target.answer = [&](const StartAttempt &attempt) {
+        ++ran;
+        AttemptEnded ended;
+        ended.attempt = attempt.attempt;
+        ended.result = AttemptResult::Answered;
+        ended.status = 200;
+        ended.tokens = 1; // Far fewer than declared.
+        return ended;
+    };
+    loop.addTarget(target);
+    loop.runUntil(TimePoint(5s));
+    for (int i = 0; i < 300; ++i) {
+        CallerRequest call = makeCall("h", "/a/x");
+        call.key = DecisionLoop::keyOf(account.id);
+        call.declaredTokens = 200;
+        loop.send(i % 3, call, TimePoint(5s) + i * 20ms);
+    }
+    loop.runUntil(TimePoint(11s));
+    // Six seconds at 1,000 tokens and a burst of 2,000 are 40 calls of 200.
+    cr_assert_leq(ran, 41);
+    cr_assert_geq(ran, 30);
+}
+
+Test(routes, a_leaving_host_sends_what_still_waits_elsewhere)
+{
+    FolderConfig folder;
+    const Route route = makeRoute("h", "/a/", "s");
+    folder.routes[route.id] = route;
+    DecisionLoop loop(1, folder, 1);
+    loop.runUntil(TimePoint(5s));
+    CallerRequest call = makeCall("h", "/a/x");
+    call.timeLimit = 60s;
+    const RequestId id = loop.send(0, call, TimePoint(5s));
+    loop.runUntil(TimePoint(5100ms));
+    Host &host = loop.hosts[0].host;
+    host.settings.drain = 1s;
+    step(host, ShutdownEvent{}, loop.now());
+    loop.runUntil(TimePoint(6500ms));
+    const LoopAnswer &answer = loop.answers.at({0, id});
+    cr_assert_eq(answer.refusal.code, RefusalCode::ShuttingDown);
+    cr_assert_eq(answer.refusal.execution, Execution::NotRun);
+}
+
 Test(routes, a_caller_who_would_leave_before_a_load_ends_is_told_at_once_when_to_come_back)
 {
     // The pattern: short requests for rare models whose load takes longer than callers wait.
