--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -118,6 +118,8 @@
     settings.found = reader.boolean("found", false);
     settings.voters = static_cast<int>(reader.integer("voters", 0, 0, MAX_VOTERS));
     settings.prefetch = reader.boolean("prefetch", false);
+    settings.rateLeeway = reader.number("rateLeeway", 0, 0, 1);
+    settings.burstLeeway = reader.number("burstLeeway", 0, 0, 1e9);
     settings.retryShare = reader.number("retryShare", settings.retryShare, 0, 10);
     settings.retryBurst = reader.number("retryBurst", settings.retryBurst, 0, 1e6);
     settings.freshnessLease
--- a/src/config/settings_type.h
+++ b/src/config/settings_type.h
@@ -48,6 +48,8 @@
     bool prefetch = false; ///< Spare loads bring models to engines before they are asked for.
     int voters = 0; ///< Members are replaced until so many vote; 0: only operators change them.
     std::size_t maxBodyBytes = 4 << 20;
+    double rateLeeway = 0; ///< Tolerated excess over accounts' rates and bursts, as a share.
+    double burstLeeway = 0; ///< Tolerated excess over accounts' bursts.
     double retryShare = 0.2; ///< Retries of all hosts per request of a service.
     double retryBurst = 100; ///< Retries of all hosts beyond that.
     Duration freshnessLease = 2s; ///< Without contact, shared state counts this long.
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -29,14 +29,24 @@
     std::vector<AccountDemand> demand;
     std::int64_t succeeded = 0;
     std::int64_t overloaded = 0;
+    std::int64_t failed = 0;
     TimePoint at;
 };
 
+/** Outcomes at one target, older ones counting less. */
+struct RecentOutcomes
+{
+    double good = 0;
+    double bad = 0;
+    TimePoint at; ///< When they were last brought up to date.
+};
+
 /** Slots of one start of a target. */
 struct TargetSlots
 {
     SlotRamp ramp;
     LeasedPool pool;
+    RecentOutcomes outcomes;
     std::map<HolderId, HostSlotDemand> demands;
     std::map<HolderId, int> shares; ///< While the demand exceeds the limit; empty otherwise.
     TimePoint sharedAt; ///< When the shares were worked out.
@@ -120,6 +130,13 @@
     std::optional<ChangeMember> memberChange; ///< Learner to be promoted once it has caught up.
 };
 
+/** Tolerated excess over an account's budgets, over all hosts together. */
+struct RateLeeway
+{
+    double share = 0; ///< Of rate and burst.
+    double amount = 0; ///< Added to the burst.
+};
+
 /** State of a control member. */
 struct Control
 {
@@ -127,6 +144,7 @@
     Cluster cluster;
     std::optional<Leadership> leadership;
     PlannerTuning tuning; ///< Of each leadership.
+    RateLeeway leeway;
     int votersWanted = 0; ///< Members are replaced until so many vote; 0: only by operators.
     TimePoint now; ///< Time of the last event.
 };
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -22,11 +22,32 @@
     = 300ms; ///< Reports of other hosts about the same loss come later.
 constexpr Duration CRASH_MEMORY = 10min;
 constexpr Duration QUARANTINE_LENGTH = 10min;
+constexpr int OWN_QUEUE_FACTOR = 3; ///< Requests of a target's own queue and slots per slot.
+constexpr Duration OUTCOME_HALF_LIFE = 5s;
+constexpr double FAILURES_LEAST = 3; ///< Of late, before a target counts as failing.
+constexpr double FAILING_SHARE = 0.2; ///< Of its outcomes of late.
 constexpr std::size_t MAX_CRASH_RECORDS = 10'000;
 
+/** Adds what the operator tolerates, since leases keep parts of a budget apart for a while. */
+void widen(Account &account, const RateLeeway &leeway)
+{
+    const auto rate = [&](double &value) { value *= 1 + leeway.share; };
+    const auto bound = [&](double &value) { value = value * (1 + leeway.share) + leeway.amount; };
+    if (account.limitsRequests) {
+        rate(account.requestsPerSecond);
+        bound(account.requestBurst);
+    }
+    if (account.limitsTokens) {
+        rate(account.tokensPerSecond);
+        bound(account.tokenBurst);
+    }
+}
+
 /** Pools follow the present configuration of their account. */
-AccountPools &poolsOf(Leadership &leadership, const Account &account, TimePoint now)
+AccountPools &poolsOf(Leadership &leadership, const RateLeeway &leeway, Account account,
+                      TimePoint now)
 {
+    widen(account, leeway);
     const auto [it, added] = leadership.accounts.try_emplace(account.id);
     AccountPools &pools = it->second;
     if (added) {
@@ -69,7 +90,7 @@
         const auto account = control.cluster.view.accounts.find(use.account);
         if (account == control.cluster.view.accounts.end())
             continue;
-        AccountPools &pools = poolsOf(leadership, account->second, now);
+        AccountPools &pools = poolsOf(leadership, control.leeway, account->second, now);
         AccountGrant out;
         out.account = use.account;
         out.requests
@@ -92,8 +113,9 @@
     slots = {};
     // A target that has served for long is taken to bear what the hosts already send it.
     slots.ramp = makeRamp(target.start, target.maxConcurrent);
+    // A target that is not ramped has a queue of its own; few slots over many hosts would idle.
     slots.ramp.limit = ramps ? std::clamp(knownLimit, slots.ramp.limit, target.maxConcurrent)
-                             : target.maxConcurrent;
+                             : target.maxConcurrent * OWN_QUEUE_FACTOR;
     const bool inherited = now < leadership.unknownUntil;
     slots.pool = inherited ? makeInheritedPool(0, slots.ramp.limit, leadership.unknownUntil, now)
                            : makePool(0, slots.ramp.limit, now);
@@ -197,18 +219,50 @@
     return own;
 }
 
+/** Adds what a host has seen since its last report. */
+void noteOutcomes(RecentOutcomes &outcomes, std::int64_t good, std::int64_t bad, TimePoint now)
+{
+    const double decay = std::exp2(-toSeconds(now - outcomes.at) / toSeconds(OUTCOME_HALF_LIFE));
+    outcomes.good = outcomes.good * decay + static_cast<double>(good);
+    outcomes.bad = outcomes.bad * decay + static_cast<double>(bad);
+    outcomes.at = now;
+}
+
+/** @return Whether a target fails often; one that did so must get clearly better first. */
+bool isFailing(const RecentOutcomes &outcomes, bool before)
+{
+    const double share = before ? FAILING_SHARE / 2 : FAILING_SHARE;
+    return outcomes.bad >= (before ? 1.0 : FAILURES_LEAST)
+        && outcomes.bad > share * (outcomes.good + outcomes.bad);
+}
+
 void noteSlotUse(TargetSlots &slots, const HostReport &report, const SlotUse &use, bool ramps,
                  TimePoint now)
 {
     HostSlotDemand &demand = slots.demands[report.holder];
+    const auto since = [](std::int64_t total, std::int64_t before) {
+        return std::max<std::int64_t>(total - before, 0);
+    };
+    const std::int64_t succeeded = since(use.succeeded, demand.succeeded);
+    const std::int64_t failed = since(use.failed, demand.failed);
     if (ramps)
-        noteAnswers(slots.ramp, std::max<std::int64_t>(use.succeeded - demand.succeeded, 0),
-                    std::max<std::int64_t>(use.overloaded - demand.overloaded, 0));
-    demand = {use.demand, use.succeeded, use.overloaded, now};
+        noteAnswers(slots.ramp, succeeded, since(use.overloaded, demand.overloaded));
+    noteOutcomes(slots.outcomes, std::max<std::int64_t>(succeeded - failed, 0), failed, now);
+    demand = {use.demand, use.succeeded, use.overloaded, use.failed, now};
     if (slots.ramp.limit != static_cast<int>(slots.pool.bound))
         resize(slots.pool, 0, slots.ramp.limit, now);
 }
 
+/** Lets hosts prefer other targets to one that fails often. */
+void judgeTarget(Leadership &leadership, TargetEntry &entry, const TargetSlots &slots)
+{
+    const bool failing = isFailing(slots.outcomes, entry.failing);
+    if (failing == entry.failing)
+        return;
+    entry.failing = failing;
+    entry.modified = Version(++leadership.registry.version.value);
+}
+
 void grantSlots(Control &control, const HostReport &report, HostGrant &grant, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
@@ -222,6 +276,7 @@
         const bool ramps = service == control.cluster.view.services.end() || service->second.ramps;
         TargetSlots &slots = slotsOf(leadership, entry->second.announcement, ramps, use.limit, now);
         noteSlotUse(slots, report, use, ramps, now);
+        judgeTarget(leadership, entry->second, slots);
         const TimePoint expires
             = now + withDriftMargin(std::max<Duration>(BUDGET_LEASE, use.busyFor));
         SlotGrant out;
@@ -388,6 +443,7 @@
         for (TargetAnnouncement &announcement : grant.registry->changed) {
             announcement = withoutUnloading(control, std::move(announcement));
             addLoads(control, announcement, now);
+            announcement.failing = leadership.registry.targets.at(announcement.id).failing;
         }
     }
     grant.suspectsVersion = leadership.suspectsVersion;
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -59,6 +59,8 @@
     duty->control.votersWanted = settings.voters;
     if (settings.edge == EdgeKind::Platform)
         duty->control.tuning = makeSwapTuning();
+    // Half of what is tolerated: the rest is for hosts that were cut off with budgets in hand.
+    duty->control.leeway = {settings.rateLeeway / 2, settings.burstLeeway / 2};
     duty->control.tuning.prefetches = settings.prefetch;
     ControlDuty *self = duty.get();
     BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
--- a/src/daemon/host_duty.cpp
+++ b/src/daemon/host_duty.cpp
@@ -32,6 +32,19 @@
     absl::StrAppend(&out, " ", count, "\n");
 }
 
+void appendHistogram(std::string &out, const std::string &name, const LatencyHistogram &histogram)
+{
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < histogram.counts.size(); ++i) {
+        total += histogram.counts[i];
+        const std::string bound
+            = i < LATENCY_BOUNDS.size() ? absl::StrCat(toSeconds(LATENCY_BOUNDS[i])) : "+Inf";
+        appendCounter(out, name + "_bucket", "le", bound, total);
+    }
+    absl::StrAppend(&out, "bilberrybend_", name, "_sum ", toSeconds(histogram.sum), "\n");
+    appendCounter(out, name + "_count", "", "", total);
+}
+
 std::string formatMetrics(const Host &host, TimePoint now)
 {
     const HostCounters &counters = host.counters;
@@ -48,6 +61,9 @@
         appendCounter(out, "refusals_total", "type", type, count);
     for (const auto &[result, count] : counters.attempts)
         appendCounter(out, "attempts_total", "result", result, count);
+    appendHistogram(out, "wait_seconds", counters.waits);
+    appendHistogram(out, "answer_seconds", counters.answers);
+    appendHistogram(out, "refusal_seconds", counters.refusalTimes);
     appendCounter(out, "open_requests", "", "", host.requests.size());
     appendCounter(out, "known_targets", "", "", host.targets.size());
     appendCounter(out, "table_version", "", "", host.table.value);
@@ -75,6 +91,7 @@
     own.drain = settings.drain;
     this->host = makeHost(own, MonotonicClock::now());
     this->controlAddresses = controlAddressesOf(settings);
+    this->seeds = this->controlAddresses;
     // Hosts begin at different control hosts.
     this->nextAddress = std::hash<std::string>{}(settings.host.value);
     if (!settings.traceFile.empty()) {
@@ -324,6 +341,23 @@
     this->post(std::move(ended));
 }
 
+void HostDuty::setSeeds(std::vector<std::string> addresses)
+{
+    absl::MutexLock lock(&this->seedsMutex);
+    this->seeds = std::move(addresses);
+}
+
+/** Takes turns among the members known last and the seeds: all that was known may be gone. */
+std::string HostDuty::nextControlAddress()
+{
+    std::vector<std::string> all = this->controlAddresses;
+    {
+        absl::MutexLock lock(&this->seedsMutex);
+        all.insert(all.end(), this->seeds.begin(), this->seeds.end());
+    }
+    return all[++this->nextAddress % all.size()];
+}
+
 void HostDuty::connectTo(std::string address, const std::vector<std::string> &known)
 {
     if (!known.empty())
@@ -335,7 +369,7 @@
     if (keeps)
         return;
     if (address.empty())
-        address = this->controlAddresses[++this->nextAddress % this->controlAddresses.size()];
+        address = this->nextControlAddress();
     this->link = std::make_unique<PeerClient>(
         address,
         [this](PeerFrame &&frame) {
--- a/src/daemon/host_duty_base.h
+++ b/src/daemon/host_duty_base.h
@@ -50,6 +50,9 @@
     std::string uniqueName();
     int callersPort() const { return this->callers ? this->callers->port() : 0; }
 
+    /** Addresses of control hosts that the settings name now. */
+    void setSeeds(std::vector<std::string> addresses);
+
     /** Begins a graceful shutdown. */
     void leave();
     void stop();
@@ -76,6 +79,7 @@
     void logDecisions(const HostEvent &event, const HostEffects &effects, TimePoint now) const;
     void execute(HostEffect &effect);
     void connectTo(std::string address, const std::vector<std::string> &known);
+    std::string nextControlAddress();
     void startAttempt(const StartAttempt &attempt);
     template <class T> T inspect(std::function<T(const Host &)> read);
 
@@ -89,6 +93,8 @@
     std::vector<std::string> controlAddresses; ///< Of the decision thread.
     std::unique_ptr<PeerClient> link; ///< Of the decision thread.
     std::size_t nextAddress = 0;
+    absl::Mutex seedsMutex;
+    std::vector<std::string> seeds ABSL_GUARDED_BY(seedsMutex);
     std::ofstream trace;
     std::atomic<bool> readyNow{false};
     std::atomic<bool> drainedNow{false};
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -24,17 +24,26 @@
 
 constexpr int EXIT_SETTINGS = 2;
 constexpr int EXIT_START = 3;
+constexpr Duration RELOAD_INTERVAL = 2s; ///< The settings may change without a signal.
 
-std::optional<Settings> readSettings(const std::string &file)
+std::optional<std::string> readFile(const std::string &file)
 {
     std::ifstream in(file);
-    if (!in) {
-        std::cerr << file << ": cannot be read\n";
+    if (!in)
         return std::nullopt;
-    }
     std::ostringstream content;
     content << in.rdbuf();
-    CheckedSettings checked = checkSettings(file, content.str());
+    return content.str();
+}
+
+std::optional<Settings> readSettings(const std::string &file)
+{
+    const std::optional<std::string> content = readFile(file);
+    if (!content) {
+        std::cerr << file << ": cannot be read\n";
+        return std::nullopt;
+    }
+    CheckedSettings checked = checkSettings(file, *content);
     for (const FieldProblem &problem : checked.problems)
         std::cerr << problem.file << ": " << problem.field << ": expected " << problem.expected
                   << "\n";
@@ -43,6 +52,38 @@
     return checked.settings;
 }
 
+/** Follows the settings file while the daemon runs; only the control hosts may change. */
+class SettingsWatch
+{
+public:
+    explicit SettingsWatch(std::string file)
+        : file(std::move(file))
+        , content(readFile(this->file).value_or(""))
+    {
+    }
+
+    /** Reads the file again. @param asked Whether somebody asked for it by a signal. */
+    void reload(HostDuty &host, bool asked)
+    {
+        std::optional<std::string> next = readFile(this->file);
+        if (!next || (*next == this->content && !asked))
+            return;
+        const CheckedSettings checked = checkSettings(this->file, *next);
+        this->content = std::move(*next);
+        if (!checked.problems.empty()) {
+            const FieldProblem &first = checked.problems.front();
+            logChange("reloadRefused", {{"field", first.field}, {"expected", first.expected}});
+            return;
+        }
+        host.setSeeds(controlAddressesOf(checked.settings));
+        logChange("reloaded", {{"controlHosts", controlAddressesOf(checked.settings)}});
+    }
+
+private:
+    std::string file;
+    std::string content;
+};
+
 /** Seeds found a group together, once; each of them knows the others by their addresses. */
 Result<void> foundBySeeds(const Settings &settings)
 {
@@ -84,17 +125,26 @@
     return Journal::create(settings.dataFolder, MemberId(settings.host.value + "#" + suffix), {});
 }
 
-void waitForShutdown(const DaemonDuties &duties)
+void waitForShutdown(const DaemonDuties &duties, SettingsWatch &watch)
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     sigaddset(&signals, SIGUSR1);
+    sigaddset(&signals, SIGHUP);
     bool leaving = false;
+    TimePoint reloadDue = MonotonicClock::now() + RELOAD_INTERVAL;
     const timespec interval{0, 20'000'000};
     while (!leaving || !duties.host->drained()) {
         const int signal = sigtimedwait(&signals, nullptr, &interval);
+        const TimePoint now = MonotonicClock::now();
+        if (signal == SIGHUP || now >= reloadDue) {
+            reloadDue = now + RELOAD_INTERVAL;
+            watch.reload(*duties.host, signal == SIGHUP);
+        }
+        if (signal == SIGHUP)
+            continue;
         if (signal == SIGUSR1) {
             std::cerr << nlohmann::json{{"dump", duties.host->dumpState()}}.dump() << std::endl;
         } else if (signal > 0) {
@@ -115,7 +165,7 @@
     return EXIT_START;
 }
 
-int run(const Settings &settings, bool found)
+int run(const std::string &file, const Settings &settings, bool found)
 {
     sigset_t signals;
     sigfillset(&signals);
@@ -175,7 +225,8 @@
         return fail("readiness " + settings.readiness.text(), readiness.error());
     logChange("started",
               {{"callers", duties.host->callersPort()}, {"operators", operators.value()->port()}});
-    waitForShutdown(duties);
+    SettingsWatch watch(file);
+    waitForShutdown(duties, watch);
     logChange("stopped");
     closeLog();
     // Threads of libraries may still be in callbacks; nothing is left to be saved.
@@ -211,7 +262,7 @@
         return EXIT_SETTINGS;
     if (values.count("check") > 0)
         return 0;
-    return run(*settings, values.count("found") > 0);
+    return run(file, *settings, values.count("found") > 0);
 }
 
 } // namespace bilberry
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -61,6 +61,7 @@
     switch (ended.result) {
     case AttemptResult::Answered:
         noteOutcome(target.health, ended.status < 500, now);
+        target.failed += ended.status < 500 ? 0 : 1;
         target.succeeded += sameStart ? 1 : 0;
         target.declinedInRow = 0;
         return;
@@ -76,14 +77,17 @@
     case AttemptResult::Failed:
     case AttemptResult::Mismatched:
         noteOutcome(target.health, false, now);
+        target.failed += ended.result == AttemptResult::NotSent ? 0 : 1;
         return;
     case AttemptResult::Stalled:
         noteOutcome(target.health, false, now);
+        ++target.failed;
         target.overloaded += sameStart ? 1 : 0;
         effects.push_back(RetireConnections{target.announcement.address});
         return;
     case AttemptResult::Lost:
         noteOutcome(target.health, false, now);
+        ++target.failed;
         target.overloaded += sameStart ? 1 : 0;
         if (ended.connectionLost && sameStart)
             suspectAll(host, target, request);
@@ -155,6 +159,7 @@
               TimePoint now)
 {
     ++host.counters.answered;
+    note(host.counters.answers, now - request.arrived);
     noteAnswer(host, request, ended, now);
     if (host.suspects.erase(request.asked.body) > 0)
         host.cleared.push_back(request.asked.body);
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -129,6 +129,7 @@
         candidate.sameZone = target.announcement.zone == host.settings.zone;
         candidate.prefixCached = hinted != host.prefixes.end() && hinted->second.contains(id);
         candidate.tried = request.tried.contains(id);
+        candidate.failing = target.announcement.failing;
         candidate.running = static_cast<int>(target.running.size());
         candidate.freeSlots = static_cast<int>(target.freeSlots());
         candidates.push_back(candidate);
@@ -189,6 +190,8 @@
     const RequestId id = request.asked.request;
     request.state = RequestState::Running;
     request.dispatchedAt = now;
+    if (request.attempts == 0)
+        note(host.counters.waits, now - request.arrived);
     charge(host.queue, request.workClass, request.account,
            static_cast<double>(request.estimate > 0 ? request.estimate : SERVICE_CALL_WORK),
            weightOf(host, request.account));
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "account/held_pool_base.h"
+#include "core/histogram_type.h"
 #include "host/host_type.h"
 #include "queue/fair_queue_base.h"
 #include "routing/routing_type.h"
@@ -116,6 +117,7 @@
     int share = -1; ///< -1: no limit.
     std::int64_t succeeded = 0;
     std::int64_t overloaded = 0;
+    std::int64_t failed = 0; ///< Errors, lost and spoiled answers.
     TargetHealth health;
     TimePoint lastUse;
     std::map<Variant, TimePoint> loadingUntil; ///< Loads under way.
@@ -133,7 +135,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(KnownTarget, announcement, slots, running,
                                                 cancelling, peak, limit, share, succeeded,
-                                                overloaded, health, lastUse, loadingUntil,
+                                                overloaded, failed, health, lastUse, loadingUntil,
                                                 coldUntil, coldStartDue, declinedUntil,
                                                 declinedInRow)
 
@@ -173,10 +175,13 @@
     std::uint64_t callerGone = 0;
     std::map<std::string, std::uint64_t> refusals; ///< By type.
     std::map<std::string, std::uint64_t> attempts; ///< By result.
+    LatencyHistogram waits; ///< From the arrival of a request to its first attempt.
+    LatencyHistogram answers; ///< From the arrival to the end of an answer.
+    LatencyHistogram refusalTimes; ///< From the arrival to a refusal.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostCounters, requests, answered, retries, resumed,
                                                 reports, callsReplayed, callsJoined, callerGone,
-                                                refusals, attempts)
+                                                refusals, attempts, waits, answers, refusalTimes)
 
 /** Everything that one host decides from. */
 struct Host
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -166,6 +166,7 @@
                       std::max<std::int64_t>(std::max(wanted, running + waiting) - held, 0));
     use.succeeded = target.succeeded;
     use.overloaded = target.overloaded;
+    use.failed = target.failed;
     use.limit = target.limit;
     use.busyFor = busyFor(host, target, now);
     for (const auto &[account, count] : demand)
@@ -284,7 +285,7 @@
     }
     for (auto &[id, target] : host.targets) {
         beginTerm(target.slots);
-        target.succeeded = target.overloaded = 0;
+        target.succeeded = target.overloaded = target.failed = 0;
     }
     for (auto &[id, local] : host.local)
         local.changed = true;
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -49,12 +49,13 @@
     PoolUse slots;
     std::int64_t succeeded = 0; ///< Total of this run.
     std::int64_t overloaded = 0; ///< Total of this run.
+    std::int64_t failed = 0; ///< Total of this run: errors, lost and spoiled answers.
     int limit = 0; ///< Latest limit that a leader named; a new leader starts from it.
     Duration busyFor{}; ///< Until the last deadline of what runs there.
     std::vector<AccountDemand> demand;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SlotUse, target, start, slots, succeeded,
-                                                overloaded, limit, busyFor, demand)
+                                                overloaded, failed, limit, busyFor, demand)
 
 /** Use of a model or adapter at one host since its last report. */
 struct VariantUse
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -13,12 +13,9 @@
 constexpr Duration ROOM_RESERVATION = 2s; ///< Longer than an unload usually takes.
 constexpr int FENCED_ORDERS_AT_ONCE = 4;
 
-bool takesOrder(const Pass &pass, const TargetFacts &target, bool model)
+bool takesOrder(const Pass &pass, const TargetFacts &target)
 {
-    const int orders = target.fenced ? target.modelOrders + target.adapterOrders
-        : model                      ? target.modelOrders
-                                     : target.adapterOrders;
-    if (!target.serving || orders >= (target.fenced ? FENCED_ORDERS_AT_ONCE : 1))
+    if (!target.serving || target.orders >= (target.fenced ? FENCED_ORDERS_AT_ONCE : 1))
         return false;
     const auto refused = pass.planner.refusedUntil.find(target.announcement().id);
     if (refused != pass.planner.refusedUntil.end() && pass.now < refused->second)
@@ -121,7 +118,7 @@
     target.idle.reset();
     target.freeMb -= need.memoryMb;
     target.freeAdapters -= need.isModel() ? 0 : 1;
-    ++(need.isModel() ? target.modelOrders : target.adapterOrders);
+    ++target.orders;
     pass.replicas.push_back({&pass.newIds.back(), nullptr, replica, false});
     ++pass.counts[need.variant].present;
     pass.decision.put.push_back(replica);
@@ -150,7 +147,9 @@
     const auto &index = need.isModel() ? pass.cachedAt : pass.readyAt;
     if (!need.isModel() && pass.adapterLoads >= pass.planner.tuning.adapterLoadsAtOnce)
         return none;
-    if (need.isModel() && storeHasRoom(pass))
+    // Waiting for a target that has the checkpoint is shorter than a load from the store.
+    const bool swaps = pass.planner.tuning.ranksByDemand && index.contains(need.variant.model);
+    if (need.isModel() && storeHasRoom(pass) && !swaps)
         return all;
     const auto found = index.find(need.variant.model);
     return found == index.end() ? none : found->second;
@@ -178,7 +177,7 @@
     std::map<ZoneId, int> zones; // Counted only for further replicas.
     for (const std::size_t i : candidates) {
         const TargetFacts &target = pass.targets[i];
-        if (target.freeMb < need.memoryMb || !takesOrder(pass, target, need.isModel())
+        if (target.freeMb < need.memoryMb || !takesOrder(pass, target)
             || target.announcement().service != need.service
             || (!need.isModel() && target.freeAdapters < 1)
             || (need.isModel() && isReserved(pass, target, need.variant))
@@ -202,6 +201,17 @@
     return best;
 }
 
+/** A target takes no order for an adapter while it loads a model. */
+bool servesAdapters(const Pass &pass, const TargetFacts &target)
+{
+    return std::any_of(target.replicas.begin(), target.replicas.end(), [&](std::size_t i) {
+        const Variant &variant = pass.replicas[i].now().variant;
+        const auto active = pass.planner.active.upper_bound({variant.model, {}});
+        return variant.adapter.value.empty() && active != pass.planner.active.end()
+            && active->model == variant.model;
+    });
+}
+
 /** Replicas whose unloading makes room on one target, or nothing if that is not possible. */
 std::optional<std::vector<std::size_t>> roomOn(Pass &pass, TargetFacts &target, const Need &need)
 {
@@ -212,7 +222,7 @@
         const Replica &replica = pass.replicas[i].now();
         if (replica.state != ReplicaState::Unloading)
             continue;
-        room += replica.memoryMb;
+        room += memoryOf(pass.input.view, replica);
         places += replica.variant.adapter.value.empty() ? 0 : 1;
     }
     std::vector<std::size_t> chosen;
@@ -223,7 +233,7 @@
         const bool isAdapter = !replica.variant.adapter.value.empty();
         if (replica.variant.model == need.variant.model && (need.isModel() || !isAdapter))
             continue;
-        room += replica.memoryMb;
+        room += memoryOf(pass.input.view, replica);
         places += isAdapter ? 1 : 0;
         chosen.push_back(victim);
     }
@@ -242,11 +252,11 @@
 {
     std::optional<std::vector<std::size_t>> best;
     const TargetFacts *bestTarget = nullptr;
-    int bestTier = 0;
+    std::tuple<bool, int, std::size_t> bestRank;
     for (const std::size_t i : candidates) {
         TargetFacts &target = pass.targets[i];
         const CacheTier tier = tierOf(target.announcement(), need.variant.model);
-        if (!takesOrder(pass, target, need.isModel()) || hasVariant(pass, target, need.variant)
+        if (!takesOrder(pass, target) || hasVariant(pass, target, need.variant)
             || target.announcement().service != need.service
             || (need.isModel() && isReserved(pass, target, need.variant))
             || (onlyCached && tier == CacheTier::Remote))
@@ -256,13 +266,12 @@
             continue;
         if (chosen->empty())
             return true;
-        const bool better = !best
-            || std::make_pair(static_cast<int>(tier), chosen->size())
-                < std::make_pair(bestTier, best->size());
-        if (better) {
+        const std::tuple<bool, int, std::size_t> rank{
+            need.isModel() && servesAdapters(pass, target), static_cast<int>(tier), chosen->size()};
+        if (!best || rank < bestRank) {
             best = std::move(chosen);
             bestTarget = &target;
-            bestTier = static_cast<int>(tier);
+            bestRank = rank;
         }
     }
     if (!best)
@@ -294,8 +303,7 @@
     facts.changed->state = ReplicaState::Unloading;
     facts.changed->fencing = FencingNumber(++pass.nextFencing.value);
     TargetFacts &target = pass.targets[pass.targetIndex.at(facts.changed->target)];
-    const bool isModel = facts.changed->variant.adapter.value.empty();
-    ++(isModel ? target.modelOrders : target.adapterOrders);
+    ++target.orders;
     target.idle.reset();
     VariantCounts &counts = pass.counts.at(facts.changed->variant);
     --counts.present;
@@ -307,7 +315,7 @@
 {
     std::vector<std::size_t> all;
     for (std::size_t i = 0; i < pass.targets.size(); ++i) {
-        if (takesOrder(pass, pass.targets[i], true))
+        if (takesOrder(pass, pass.targets[i]))
             all.push_back(i);
     }
     std::size_t searches = 0;
@@ -320,7 +328,8 @@
             && tierOf(pass.targets[*target].announcement(), need.variant.model)
                 == CacheTier::Remote;
         // Where the checkpoint is cached, making room first is faster than a load from the store.
-        const bool wantsRoom = need.first && (!target || (uncached && need.isModel()));
+        const bool presses = need.first || pass.planner.tuning.ranksByDemand;
+        const bool wantsRoom = presses && (!target || (uncached && need.isModel()));
         if (wantsRoom && searches < ROOM_SEARCHES_PER_PASS) {
             ++searches;
             if (makeRoom(pass, need, candidates, target.has_value()))
@@ -337,7 +346,7 @@
     const std::size_t count = std::min(pass.targets.size(), TARGETS_PER_PASS);
     for (std::size_t n = 0; n < count; ++n) {
         TargetFacts &target = pass.targets[++pass.planner.idleTurn % pass.targets.size()];
-        if (!takesOrder(pass, target, true))
+        if (!takesOrder(pass, target))
             continue;
         const std::vector<std::size_t> idle = victims(pass, target);
         for (const std::size_t i : idle) {
@@ -348,8 +357,7 @@
                 ? pass.planner.since
                 : std::max(history->second.lastUse, pass.planner.since);
             const bool over = pass.now - lastUse >= keepWarmWindow(pass.planner, replica.variant);
-            const bool isModel = replica.variant.adapter.value.empty();
-            if ((withdrawn || over) && takesOrder(pass, target, isModel))
+            if ((withdrawn || over) && takesOrder(pass, target))
                 beginUnload(pass, i);
         }
     }
@@ -410,7 +418,7 @@
     need.first = true;
     std::vector<std::size_t> all;
     for (std::size_t i = 0; i < pass.targets.size(); ++i) {
-        if (takesOrder(pass, pass.targets[i], true)
+        if (takesOrder(pass, pass.targets[i])
             && pass.targets[i].announcement().service == need.service)
             all.push_back(i);
     }
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -41,11 +41,6 @@
 
 using PendingReplica = std::pair<const std::string *, const Replica *>;
 
-bool isModel(const Replica &replica)
-{
-    return replica.variant.adapter.value.empty();
-}
-
 /** @return The order under way for a pending replica, if there is one. */
 const OutstandingOrder *orderOf(const Planner &planner, const PendingReplica &pending)
 {
@@ -56,26 +51,18 @@
 }
 
 /**
- * Orders to a target that ignores fencing wait for the answer to the one before. A model's order
- * takes long after its answer: orders for adapters go on meanwhile, those for models don't.
+ * A target that ignores fencing carries out one order at a time and refuses others meanwhile.
  * @param pending Pending replicas of one target by number.
  * @return The next one to be ordered, if any.
  */
 std::optional<PendingReplica> nextOf(const Planner &planner,
                                      const std::vector<PendingReplica> &pending)
 {
-    bool modelUnderWay = false;
     for (const PendingReplica &item : pending) {
-        const OutstandingOrder *order = orderOf(planner, item);
-        if (order != nullptr && !order->answered)
+        if (orderOf(planner, item) != nullptr)
             return std::nullopt;
-        modelUnderWay = modelUnderWay || (order != nullptr && isModel(*item.second));
-    }
-    for (const PendingReplica &item : pending) {
-        if (orderOf(planner, item) == nullptr && !(modelUnderWay && isModel(*item.second)))
-            return item;
     }
-    return std::nullopt;
+    return pending.front();
 }
 
 /** Pending replicas whose order may go out; at most one for each unfenced target. */
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -39,6 +39,7 @@
     tuning.countsOrders = true;
     tuning.victimIdle = 300ms;
     tuning.ranksByDemand = true;
+    tuning.requestsPerReplica = 24;
     return tuning;
 }
 
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -29,8 +29,7 @@
     bool fenced = false;
     std::int64_t freeMb = 0;
     int freeAdapters = 0; ///< Places for further adapters.
-    int modelOrders = 0; ///< Under way, or decided and not yet sent.
-    int adapterOrders = 0; ///< The same for adapters.
+    int orders = 0; ///< Under way, or decided and not yet sent.
     std::vector<std::size_t> replicas; ///< Indices into Pass::replicas.
     std::optional<std::vector<std::size_t>> idle; ///< Memo: may go, the one least missed first.
 
@@ -96,6 +95,12 @@
 /** Unloads replicas that were idle for longer than their window, or whose model is withdrawn. */
 void unloadIdle(Pass &pass);
 
+/**
+ * @return Memory that a replica takes. One that was found at a target before the first
+ * configuration has none on record: then the configuration tells, or the largest model counts.
+ */
+std::int64_t memoryOf(const View &view, const Replica &replica);
+
 CacheTier tierOf(const TargetAnnouncement &target, const ModelId &model);
 
 /** Decides to unload. */
--- a/src/placement/reconcile.cpp
+++ b/src/placement/reconcile.cpp
@@ -114,15 +114,6 @@
     pass.decision.put.push_back(*facts.changed);
 }
 
-/** @return Memory of a variant by the configuration; 0 if it is not declared. */
-std::int64_t memoryOf(const View &view, const Variant &variant)
-{
-    const auto model = view.models.find(variant.model);
-    if (model == view.models.end())
-        return 0;
-    return variant.adapter.value.empty() ? model->second.memoryMb : model->second.adapterMemoryMb;
-}
-
 /** Records what a target holds without a decision, so that its memory counts. */
 void adoptStrays(Pass &pass, std::size_t targetIndex)
 {
@@ -144,8 +135,7 @@
         const bool anyVersion
             = model != pass.input.view.models.end() && model->second.version.value == 0;
         replica.version = anyVersion ? Version(0) : loaded.version;
-        replica.memoryMb
-            = loaded.memoryMb > 0 ? loaded.memoryMb : memoryOf(pass.input.view, loaded.variant);
+        replica.memoryMb = loaded.memoryMb;
         pass.newIds.push_back(replicaId(announcement.id, loaded.variant));
         pass.targets[targetIndex].replicas.push_back(pass.replicas.size());
         pass.replicas.push_back({&pass.newIds.back(), nullptr, replica, false});
@@ -158,10 +148,9 @@
     TargetFacts &target = pass.targets[targetIndex];
     const Replica &replica = facts.now();
     const bool isModel = replica.variant.adapter.value.empty();
-    target.freeMb -= replica.memoryMb;
+    target.freeMb -= memoryOf(pass.input.view, replica);
     target.freeAdapters -= isModel ? 0 : 1;
-    if (replica.state != ReplicaState::Ready)
-        ++(isModel ? target.modelOrders : target.adapterOrders);
+    target.orders += replica.state == ReplicaState::Ready ? 0 : 1;
     if (replica.state == ReplicaState::Loading) {
         pass.adapterLoads += isModel ? 0 : 1;
         pass.storeLoads += isModel && !pass.planner.cachedLoads.contains(*facts.id) ? 1 : 0;
@@ -179,6 +168,20 @@
 
 } // namespace
 
+std::int64_t memoryOf(const View &view, const Replica &replica)
+{
+    if (replica.memoryMb > 0)
+        return replica.memoryMb;
+    const bool isModel = replica.variant.adapter.value.empty();
+    const auto model = view.models.find(replica.variant.model);
+    if (model != view.models.end())
+        return isModel ? model->second.memoryMb : model->second.adapterMemoryMb;
+    std::int64_t largest = 0;
+    for (const auto &[id, declared] : view.models)
+        largest = std::max(largest, isModel ? declared.memoryMb : declared.adapterMemoryMb);
+    return largest;
+}
+
 void reconcile(Pass &pass)
 {
     const TargetRegistry &registry = pass.input.registry;
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -56,8 +56,8 @@
             return affine;
     }
     const auto rank = [](const Candidate &candidate) {
-        return std::make_tuple(candidate.tried, !candidate.sameZone, candidate.running,
-                               -candidate.freeSlots);
+        return std::make_tuple(candidate.tried, candidate.failing, !candidate.sameZone,
+                               candidate.running, -candidate.freeSlots);
     };
     std::size_t best = 0;
     for (std::size_t i = 1; i < candidates.size(); ++i) {
--- a/src/routing/routing_type.h
+++ b/src/routing/routing_type.h
@@ -68,6 +68,7 @@
     TargetId target;
     bool sameZone = false;
     bool prefixCached = false; ///< By a late and gapped hint.
+    bool failing = false; ///< Fails often at all hosts together.
     bool tried = false; ///< An earlier attempt of the request ended there.
     int running = 0; ///< Of this host.
     int freeSlots = 0; ///< Of this host.
--- a/src/target/registry.cpp
+++ b/src/target/registry.cpp
@@ -3,11 +3,27 @@
 
 namespace bilberry {
 
+namespace {
+
+/** @return Whether an announcement was sent before its target left or fell silent. */
+bool isOutlived(const TargetRegistry &registry, const TargetAnnouncement &announcement)
+{
+    const auto it = registry.ended.find(announcement.id);
+    if (it == registry.ended.end() || announcement.start > it->second.start)
+        return false;
+    const bool late = announcement.sequence > 0 && announcement.sequence <= it->second.sequence;
+    return announcement.start < it->second.start || it->second.left || late;
+}
+
+} // namespace
+
 AnnounceOutcome announce(TargetRegistry &registry, const TargetAnnouncement &announcement,
                          TimePoint now)
 {
     const auto it = registry.targets.find(announcement.id);
     const bool known = it != registry.targets.end();
+    if (!known && isOutlived(registry, announcement))
+        return AnnounceOutcome::Stale;
     if (known && announcement.start < it->second.announcement.start)
         return AnnounceOutcome::Stale;
     const bool restarted = !known || announcement.start > it->second.announcement.start;
@@ -48,6 +64,9 @@
             continue;
         }
         dropped.push_back(it->first);
+        const TargetAnnouncement &last = it->second.announcement;
+        if (registry.ended.size() < MAX_ENDED_TARGETS)
+            registry.ended[it->first] = {last.start, last.sequence, it->second.left};
         registry.removed[it->first] = Version(++registry.version.value);
         it = registry.targets.erase(it);
     }
--- a/src/target/registry_base.h
+++ b/src/target/registry_base.h
@@ -15,10 +15,23 @@
 {
     TargetAnnouncement announcement;
     TimePoint heard;
+    bool failing = false; ///< Told to hosts with the announcement.
     bool left = false; ///< Said that it ends; what it announced before may still arrive.
     Version modified; ///< Registry version of its latest change.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetEntry, announcement, heard, left, modified)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetEntry, announcement, heard, failing, left,
+                                                modified)
+
+/** A target that fell silent; what it had said before may still arrive. */
+struct EndedTarget
+{
+    StartNumber start;
+    std::uint64_t sequence = 0; ///< Of its last announcement.
+    bool left = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndedTarget, start, sequence, left)
+
+constexpr std::size_t MAX_ENDED_TARGETS = 1'000;
 
 /** All known targets; soft state that is rebuilt from reports under each leader. */
 struct TargetRegistry
@@ -26,9 +39,11 @@
     std::uint64_t epoch = 0; ///< Term of the leader that built it.
     Version version;
     std::map<TargetId, TargetEntry> targets;
+    std::map<TargetId, EndedTarget> ended;
     std::map<TargetId, Version> removed; ///< With the version of the removal.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetRegistry, epoch, version, targets, removed)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetRegistry, epoch, version, targets, ended,
+                                                removed)
 
 /** Changes of a registry between two versions. */
 struct RegistryDelta
--- a/src/target/target_type.h
+++ b/src/target/target_type.h
@@ -73,6 +73,7 @@
     std::vector<LoadedVariant> loaded;
     std::vector<CachedModel> cached;
     std::vector<LoadingVariant> loading;
+    bool failing = false; ///< Fails often; found by the leader, never announced.
     bool leaving = false; ///< Wants no new work.
     FencingNumber lastOrder; ///< Highest fencing number it has carried out.
     std::vector<FencingNumber> failedOrders; ///< Latest orders that it could not carry out.
@@ -83,8 +84,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetAnnouncement, id, address, kind, zone,
                                                 service, memoryMb, maxConcurrent, start, loaded,
-                                                cached, loading, leaving, lastOrder, failedOrders,
-                                                coldFor, sequence)
+                                                cached, loading, failing, leaving, lastOrder,
+                                                failedOrders, coldFor, sequence)
 
 /** @return Whether two announcements say the same, whatever their sequence numbers. */
 inline bool sameContent(const TargetAnnouncement &a, TargetAnnouncement b)
--- a/src/tests/route_test.cpp
+++ b/src/tests/route_test.cpp
@@ -136,6 +136,42 @@
     cr_assert_geq(ran, 30);
 }
 
+Test(routes, a_target_that_fails_often_is_found_by_all_hosts_together_and_gets_less)
+{
+    // The pattern: health checks are good while a part of the answers are errors.
+    FolderConfig folder;
+    Route route = makeRoute("h", "/a/", "s");
+    folder.routes[route.id] = route;
+    DecisionLoop loop(6, folder, 1);
+    std::map<std::string, int> ran;
+    for (const char *id : {"grey", "good", "fine"}) {
+        LoopTarget target = makeTarget(id, "s");
+        target.announcement.maxConcurrent = 100;
+        const std::string name = id;
+        target.answer = [&ran, name](const StartAttempt &attempt) {
+            const bool fails = name == "grey" && ++ran["turn"] % 2 == 0;
+            ++ran[name];
+            AttemptEnded ended;
+            ended.attempt = attempt.attempt;
+            ended.result = AttemptResult::Answered;
+            ended.status = fails ? 500 : 200;
+            return ended;
+        };
+        loop.addTarget(target);
+    }
+    loop.runUntil(TimePoint(5s));
+    const auto sendAll = [&](TimePoint from) {
+        for (int i = 0; i < 240; ++i)
+            loop.send(i % 6, makeCall("h", "/a/x"), from + i * 40ms);
+    };
+    sendAll(loop.now());
+    loop.runUntil(TimePoint(15s));
+    ran["grey"] = 0;
+    sendAll(loop.now());
+    loop.runUntil(TimePoint(25s));
+    cr_assert_leq(ran["grey"], 24, "a tenth of what came later");
+}
+
 Test(routes, a_leaving_host_sends_what_still_waits_elsewhere)
 {
     FolderConfig folder;
--- /dev/null
+++ b/src/tests/system/platform_stand_in.py
@@ -0,0 +1,164 @@
+"""A small stand-in for the platform: one engine, its heartbeats, an operator; for one scenario."""
+
+import json
+import os
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import fleet
+
+CONTROL_IP = "127.0.0.2"
+ENTRY_IP = "127.0.0.3"
+NAME = "X-Bilberrybend-"
+EVENTS = 5
+HEARTBEAT_S = 0.3
+
+
+class Engine(ThreadingHTTPServer):
+    """Streams events for a model that it holds, answers plain calls, and counts what it ran."""
+
+    daemon_threads = True
+
+    def __init__(self, control):
+        super().__init__(("127.0.0.1", 0), EngineHandler)
+        self.control = control
+        self.seen = []
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        while True:
+            self.sequence += 1
+            state = {"service": "llm", "address": f"127.0.0.1:{self.server_port}", "zone": "z1",
+                     "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+                     "stage": "colocated", "seqNo": self.sequence, "born": self.born,
+                     "models": [{"name": "m", "version": 1, "adapters": []}],
+                     "atHand": {"inMemory": ["m"], "onDisk": ["m"]}}
+            fleet.http("POST", self.control, "/instances/i-1/heartbeat",
+                       json.dumps(state).encode(), {"Content-Type": "application/json"})
+            time.sleep(HEARTBEAT_S)
+
+
+class EngineHandler(BaseHTTPRequestHandler):
+    """One request; headers and body are kept as they came."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        if self.path == "/report":
+            self.answer(json.dumps({"seqNo": 0, "busy": False}).encode())
+        else:
+            self.do_POST()
+
+    def do_POST(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self.server.seen.append((self.command, self.path, dict(self.headers), body))
+        if self.path.startswith("/chat/"):
+            self.stream()
+        else:
+            self.answer(b"plain " + body)
+
+    def head(self, content_type):
+        self.send_response(200)
+        self.send_header("Content-Type", content_type)
+        self.send_header(NAME + "Request-Id", self.headers.get(NAME + "Request-Id", ""))
+        self.send_header(NAME + "Server-Seal", "sealed")
+
+    def answer(self, body):
+        self.head("application/octet-stream")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def stream(self):
+        self.head("text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(1, EVENTS + 1):
+            event = f"id: {number}\ndata: x{number}\n\n".encode()
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.flush()
+        self.wfile.write(b"0\r\n\r\n")
+
+    def log_message(self, *_):
+        pass
+
+
+def configuration(version):
+    route = {"host": "h.example", "timeoutMs": 5000, "latencyGoalMs": 600, "priority": 1,
+             "attempts": 1, "public": False, "service": "llm"}
+    return {"version": version,
+            "routes": [dict(route, name="chat", pathPrefix="/chat/", kind="streaming",
+                            gapTargetMs=300),
+                       dict(route, name="hold", pathPrefix="/hold/", kind="unsafe")],
+            "services": [{"name": "llm", "coldPerS": 12.0, "engine": {
+                "weightsMb": 230000.0, "adapterSlots": 8, "loadsPerS": 4.2, "models": [
+                    {"name": "m", "weightsMb": 70000.0, "loadS": 6.0, "diskS": 1.6,
+                     "adapters": 0, "adapterMb": 66.0}]}}],
+            "tenants": [{"name": "tengri", "apiKeys": ["secret-key"], "unit": "tokens",
+                         "plainTokens": 200, "ratePerS": 0, "burst": 0}]}
+
+
+class PlatformSite:
+    """One control and one entry daemon that speak the platform's wire."""
+
+    def __init__(self, build):
+        self.run = tempfile.mkdtemp(prefix="bb-")
+        callers, ready, control, operators, peers = fleet.free_ports(5)
+        self.callers = f"{ENTRY_IP}:{callers}"
+        self.ready = f"{ENTRY_IP}:{ready}"
+        self.control = f"{CONTROL_IP}:{control}"
+        common = {"zone": "z1", "edge": "platform", "drainMs": 300,
+                  "controlSeeds": [self.control]}
+        self.processes = []
+        self.start(build, dict(common, host="control", entry=False, control=True, found=True,
+                               voters=1, dataFolder=f"{self.run}/data", targets=self.control,
+                               operators=f"{CONTROL_IP}:{operators}",
+                               peers=f"{CONTROL_IP}:{peers}"))
+        self.start(build, dict(common, host="entry", entry=True, control=False,
+                               callers=self.callers, readiness=self.ready,
+                               operators=f"{ENTRY_IP}:{operators}", peers=f"{ENTRY_IP}:{peers}"))
+        self.engine = Engine(self.control)
+
+    def start(self, build, settings):
+        path = f"{self.run}/{settings['host']}.json"
+        with open(path, "w", encoding="utf-8") as out:
+            json.dump(settings, out)
+        log = open(f"{self.run}/{settings['host']}.log", "ab")
+        self.processes.append(subprocess.Popen(
+            [os.path.abspath(f"{build}/bilberrybendd"), "--settings", path], stdout=log,
+            stderr=log))
+
+    def replace(self, document):
+        body = document if isinstance(document, bytes) else json.dumps(document).encode()
+        return fleet.http("POST", self.control, "/config/replace", body,
+                          {"Content-Type": "application/json"})[0]
+
+    def call(self, path, body=b"{}", key="secret-key", **more):
+        headers = {"Host": "h.example", NAME + "Request-Id": "r-1", NAME + "Model": "m",
+                   NAME + "Token-Count": "100,20", NAME + "Deadline-Ms": "4000",
+                   "Authorization": f"Token {key}"}
+        headers.update(more)
+        return fleet.http("POST", self.callers, path, body, headers)
+
+    def raw(self, text):
+        """Sends bytes as they are. Returns all that comes back until the connection is closed."""
+        ip, port = self.callers.split(":")
+        with socket.create_connection((ip, int(port)), timeout=5) as connection:
+            connection.sendall(text)
+            answer = b""
+            while chunk := connection.recv(65536):
+                answer += chunk
+        return answer
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.engine.shutdown()
