--- a/src/control/member_cmd.cpp
+++ b/src/control/member_cmd.cpp
@@ -49,7 +49,7 @@
 {
     const LogReplica &replica = control.replica;
     const std::set<MemberId> &voters = replica.membership.voters;
-    if (const auto old = predecessor(replica, candidate); old && voters.contains(*old))
+    if (auto old = predecessor(replica, candidate); old && voters.contains(*old))
         return old;
     if (static_cast<int>(voters.size()) < control.votersWanted)
         return std::nullopt;
