Fix: [Control] Hosts that restarted with the leader knew no target for three seconds

Change: a host that knows no target, or follows this leader's registry already, gets what there is; only a host with an older registry waits, since a part would make it forget targets.

--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -438,7 +438,10 @@
         grant.table = tableDeltaSince(control.cluster, report.table);
     const bool behind = report.registryEpoch != leadership.registry.epoch
         || report.registry != leadership.registry.version;
-    if (behind && registryIsComplete(leadership, now)) {
+    // A host that knows no target, or follows this registry already, loses none by a part of it.
+    const bool follows
+        = report.registryEpoch == 0 || report.registryEpoch == leadership.registry.epoch;
+    if (behind && (follows || registryIsComplete(leadership, now))) {
         grant.registry = deltaSince(leadership.registry, report.registryEpoch, report.registry);
         for (TargetAnnouncement &announcement : grant.registry->changed) {
             announcement = withoutUnloading(control, std::move(announcement));
--- a/src/tests/route_test.cpp
+++ b/src/tests/route_test.cpp
@@ -172,6 +172,25 @@
     cr_assert_leq(ran["grey"], 24, "a tenth of what came later");
 }
 
+Test(routes, hosts_that_restart_with_the_leader_serve_as_soon_as_targets_are_heard)
+{
+    // The pattern: all processes are killed at once; nobody remembers any target.
+    FolderConfig folder;
+    const Route route = makeRoute("h", "/a/", "s");
+    folder.routes[route.id] = route;
+    DecisionLoop loop(2, folder, 1);
+    loop.addTarget(makeTarget("s", "s"));
+    loop.runUntil(TimePoint(5s));
+    loop.restartControl(500ms);
+    for (int host = 0; host < 2; ++host)
+        loop.restartHost(host);
+    loop.runUntil(TimePoint(7500ms));
+    const RequestId id = loop.send(1, makeCall("h", "/a/x"), TimePoint(7500ms));
+    loop.runUntil(TimePoint(7600ms));
+    cr_assert(loop.answers.contains({1, id}), "waits for targets that were heard already");
+    cr_assert(loop.answers.at({1, id}).answered);
+}
+
 Test(routes, a_leaving_host_sends_what_still_waits_elsewhere)
 {
     FolderConfig folder;
