--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -116,14 +116,14 @@
     int timeLimitMs = 5'000;
     int attempts = 3; ///< Most targets that may run one call.
     int patienceMs = 0; ///< Callers leave if the answer has not begun by then; 0: they wait.
-    int latencyGoalMs = 0; ///< Time to the answer's beginning that callers hope for; 0: none.
+    int answerGoalMs = 0; ///< Time to the answer's beginning that callers hope for; 0: none.
     int priority = 0; ///< 0 goes first.
 
     friend bool operator==(const Route &, const Route &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Route, id, host, path, service, split, repeatable,
                                                 resumable, open, workClass, timeLimitMs, attempts,
-                                                patienceMs, latencyGoalMs, priority)
+                                                patienceMs, answerGoalMs, priority)
 
 /** What the operator says of a target beyond its own announcement. */
 struct TargetPolicy
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -17,6 +17,17 @@
 void onHostReport(Control &control, const HostReport &report, ControlEffects &effects,
                   TimePoint now);
 
+/**
+ * Notes a holder's use of a pool and grants what it wants, as far as there is any.
+ * @param sameTerm Whether the totals refer to this leader's grants.
+ * @return Total granted to the holder.
+ */
+std::int64_t exchange(LeasedPool &pool, const HolderId &holder, const PoolUse &use, bool sameTerm,
+                      TimePoint expires, TimePoint now);
+
+/** Answers the slot part of a report. */
+void grantSlots(Control &control, const HostReport &report, HostGrant &grant, TimePoint now);
+
 /** Quarantines requests that crashed targets repeatedly. */
 void judgeSuspects(Control &control, ControlEffects &effects, TimePoint now);
 
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -53,6 +53,11 @@
 void onControlMessage(Host &host, const ControlMessage &message, HostEffects &effects,
                       TimePoint now);
 void onControlLink(Host &host, bool connected, HostEffects &effects, TimePoint now);
+/** @return Requests and tokens that the waiting requests of an account need. */
+std::pair<std::int64_t, std::int64_t> waitingNeed(const Host &host, const HeldAccount &held);
+/** Makes reports before their time rarer while nothing comes of them. */
+void noteUrgency(Host &host, TimePoint now);
+void sendReport(Host &host, HostEffects &effects, TimePoint now);
 /** Sends a report if one is due or wanted. */
 void reportIfDue(Host &host, HostEffects &effects, TimePoint now);
 bool isFresh(const Host &host, TimePoint now);
