--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 PACKAGES = cmake ninja-build g++ pkg-config clang-format clang-tidy python3 curl \
   libabsl-dev libgrpc++-dev libprotobuf-dev libmicrohttpd-dev libcurl4-openssl-dev \
-  libboost-dev libboost-program-options-dev libboost-log-dev nlohmann-json3-dev \
+  libboost-dev libboost-program-options-dev libboost-log-dev nlohmann-json3-dev libmsgpack-cxx-dev \
   libcriterion-dev librapidcheck-dev libssl-dev ccache
 
 .PHONY: install build demo test lint format faults bench
--- /dev/null
+++ b/src/net/link_wire.cpp
@@ -0,0 +1,291 @@
+/** @file link_wire.cpp MessagePack encoding of reports and grants. */
+#include "net/link_wire_func.h"
+
+#include <msgpack.hpp>
+#include <tuple>
+#include <type_traits>
+
+namespace bilberry {
+
+namespace {
+
+/** Lists the fields of a struct in the order in which they travel. */
+template <class T> struct Fields;
+
+template <class T>
+concept Listed = requires(T &value)
+{
+    Fields<T>::of(value);
+};
+
+template <class T>
+concept WireEnum = std::is_same_v<T, TargetKind> || std::is_same_v<T, CacheTier>;
+
+template <> struct Fields<Variant>
+{
+    static auto of(auto &v) { return std::tie(v.model, v.adapter); }
+};
+template <> struct Fields<HolderId>
+{
+    static auto of(auto &v) { return std::tie(v.host, v.run); }
+};
+template <> struct Fields<LoadedVariant>
+{
+    static auto of(auto &v) { return std::tie(v.variant, v.version, v.memoryMb); }
+};
+template <> struct Fields<CachedModel>
+{
+    static auto of(auto &v) { return std::tie(v.model, v.tier); }
+};
+template <> struct Fields<LoadingVariant>
+{
+    static auto of(auto &v) { return std::tie(v.variant, v.left); }
+};
+template <> struct Fields<TargetAnnouncement>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.id, v.address, v.kind, v.zone, v.service, v.memoryMb, v.maxConcurrent,
+                        v.start, v.loaded, v.cached, v.loading, v.failing, v.leaving, v.lastOrder,
+                        v.failedOrders, v.coldFor, v.sequence);
+    }
+};
+template <> struct Fields<PoolUse>
+{
+    static auto of(auto &v) { return std::tie(v.spent, v.returned, v.want, v.carried); }
+};
+template <> struct Fields<AccountUse>
+{
+    static auto of(auto &v) { return std::tie(v.account, v.requests, v.tokens); }
+};
+template <> struct Fields<AccountDemand>
+{
+    static auto of(auto &v) { return std::tie(v.account, v.demand); }
+};
+template <> struct Fields<SlotUse>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.target, v.start, v.slots, v.succeeded, v.overloaded, v.failed, v.limit,
+                        v.busyFor, v.demand);
+    }
+};
+template <> struct Fields<VariantUse>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.variant, v.waiting, v.running, v.arrived, v.returning,
+                        v.earliestDeadlineIn, v.accounts);
+    }
+};
+template <> struct Fields<CrashSuspicion>
+{
+    static auto of(auto &v) { return std::tie(v.request, v.target, v.start, v.alone); }
+};
+template <> struct Fields<ControlCandidate>
+{
+    static auto of(auto &v) { return std::tie(v.member, v.address); }
+};
+template <> struct Fields<HostReport>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.holder, v.zone, v.sequence, v.sentAt, v.term, v.table, v.registryEpoch,
+                        v.registry, v.membershipIndex, v.suspectsVersion, v.leaving, v.entry,
+                        v.member, v.accounts, v.slots, v.variants, v.targets, v.alive,
+                        v.targetsLeft, v.suspicions, v.cleared);
+    }
+};
+template <> struct Fields<RegistryDelta>
+{
+    static auto of(auto &v) { return std::tie(v.epoch, v.full, v.version, v.changed, v.removed); }
+};
+template <> struct Fields<AccountGrant>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.account, v.requests, v.tokens, v.requestWait, v.tokenWait, v.settling);
+    }
+};
+template <> struct Fields<SlotGrant>
+{
+    static auto of(auto &v) { return std::tie(v.target, v.start, v.slots, v.limit, v.share); }
+};
+template <> struct Fields<HostGrant>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.sequence, v.sentAt, v.term, v.table, v.registry, v.accounts, v.slots,
+                        v.membershipIndex, v.controlHosts, v.clock, v.suspectsVersion, v.suspects,
+                        v.unknownTargets, v.hostCount, v.hostRank);
+    }
+};
+
+} // namespace
+
+} // namespace bilberry
+
+// Conversions are looked up in the library's namespace.
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor {
+
+    template <bilberry::Listed T> struct pack<T, void>
+    {
+        template <class Stream> auto &operator()(packer<Stream> &out, const T &value) const
+        {
+            return out.pack(bilberry::Fields<T>::of(value));
+        }
+    };
+    template <bilberry::Listed T> struct convert<T, void>
+    {
+        const msgpack::object &operator()(const msgpack::object &in, T &value) const
+        {
+            auto fields = bilberry::Fields<T>::of(value);
+            in.convert(fields);
+            return in;
+        }
+    };
+
+    template <class Tag, class Rep> struct pack<bilberry::StrongType<Tag, Rep>, void>
+    {
+        template <class Stream>
+        auto &operator()(packer<Stream> &out, const bilberry::StrongType<Tag, Rep> &value) const
+        {
+            return out.pack(value.value);
+        }
+    };
+    template <class Tag, class Rep> struct convert<bilberry::StrongType<Tag, Rep>, void>
+    {
+        const msgpack::object &operator()(const msgpack::object &in,
+                                          bilberry::StrongType<Tag, Rep> &value) const
+        {
+            return in.convert(value.value), in;
+        }
+    };
+
+    template <> struct pack<bilberry::Duration, void>
+    {
+        template <class Stream>
+        auto &operator()(packer<Stream> &out, const bilberry::Duration &value) const
+        {
+            return out.pack(value.count());
+        }
+    };
+    template <> struct convert<bilberry::Duration, void>
+    {
+        const msgpack::object &operator()(const msgpack::object &in,
+                                          bilberry::Duration &value) const
+        {
+            value = bilberry::Duration(in.as<bilberry::Duration::rep>());
+            return in;
+        }
+    };
+
+    template <> struct pack<bilberry::TimePoint, void>
+    {
+        template <class Stream>
+        auto &operator()(packer<Stream> &out, const bilberry::TimePoint &value) const
+        {
+            return out.pack(value.time_since_epoch());
+        }
+    };
+    template <> struct convert<bilberry::TimePoint, void>
+    {
+        const msgpack::object &operator()(const msgpack::object &in,
+                                          bilberry::TimePoint &value) const
+        {
+            value = bilberry::TimePoint(in.as<bilberry::Duration>());
+            return in;
+        }
+    };
+
+    template <bilberry::WireEnum T> struct pack<T, void>
+    {
+        template <class Stream> auto &operator()(packer<Stream> &out, const T &value) const
+        {
+            return out.pack(static_cast<int>(value));
+        }
+    };
+    template <bilberry::WireEnum T> struct convert<T, void>
+    {
+        const msgpack::object &operator()(const msgpack::object &in, T &value) const
+        {
+            value = static_cast<T>(in.as<int>());
+            return in;
+        }
+    };
+
+    /** The records of a table change seldom and stay CBOR. */
+    template <> struct pack<bilberry::TableDelta, void>
+    {
+        template <class Stream>
+        auto &operator()(packer<Stream> &out, const bilberry::TableDelta &value) const
+        {
+            return out.pack(bilberry::encode(value));
+        }
+    };
+    template <> struct convert<bilberry::TableDelta, void>
+    {
+        const msgpack::object &operator()(const msgpack::object &in,
+                                          bilberry::TableDelta &value) const
+        {
+            auto table = bilberry::decode<bilberry::TableDelta>(in.as<std::string>());
+            if (!table)
+                throw type_error();
+            value = std::move(table).value();
+            return in;
+        }
+    };
+
+    } // namespace adaptor
+}
+} // namespace msgpack
+
+namespace bilberry {
+
+namespace {
+
+template <class T> std::string packAll(const T &value)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+template <class T> Result<T> unpackAll(std::string_view bytes)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        return handle.get().as<T>();
+    } catch (const msgpack::unpack_error &) {
+        return Errc::Malformed;
+    } catch (const msgpack::type_error &) {
+        return Errc::Malformed;
+    }
+}
+
+} // namespace
+
+std::string packReport(const HostReport &report)
+{
+    return packAll(report);
+}
+
+Result<HostReport> unpackReport(std::string_view bytes)
+{
+    return unpackAll<HostReport>(bytes);
+}
+
+std::string packGrant(const HostGrant &grant)
+{
+    return packAll(grant);
+}
+
+Result<HostGrant> unpackGrant(std::string_view bytes)
+{
+    return unpackAll<HostGrant>(bytes);
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/src/net/link_wire_func.h
@@ -0,0 +1,28 @@
+/** @file link_wire_func.h Reports and grants as short binary messages. */
+#pragma once
+
+#include "core/error_type.h"
+#include "link/link_type.h"
+
+#include <string>
+#include <string_view>
+
+namespace bilberry {
+
+/**
+ * Each struct is a MessagePack array of its fields in a fixed order: new fields go to the end,
+ * where a reader that does not know them passes over them and one that misses them keeps defaults.
+ * @return @p report as MessagePack.
+ */
+std::string packReport(const HostReport &report);
+
+/** @return The report, or Errc::Malformed. */
+Result<HostReport> unpackReport(std::string_view bytes);
+
+/** @return @p grant as MessagePack, encoded as reports are. */
+std::string packGrant(const HostGrant &grant);
+
+/** @return The grant, or Errc::Malformed. */
+Result<HostGrant> unpackGrant(std::string_view bytes);
+
+} // namespace bilberry
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -86,7 +86,7 @@
             return;
         }
         this->noteConnected();
-        Result<PeerFrame> frame = decode<PeerFrame>(this->incoming.body());
+        Result<PeerFrame> frame = fromWire(this->incoming);
         if (frame)
             this->shared->onFrame(std::move(frame).value());
         this->StartRead(&this->incoming);
@@ -116,13 +116,11 @@
         delete this;
     }
 
-    void send(std::string body)
+    void send(rpc::Frame frame)
     {
         absl::MutexLock lock(&this->mutex);
         if (this->queue.size() >= MAX_QUEUED_FRAMES)
             return;
-        rpc::Frame frame;
-        frame.set_body(std::move(body));
         this->queue.push_back(std::move(frame));
         this->writeNext();
     }
@@ -176,7 +174,7 @@
 {
     absl::MutexLock lock(&this->shared->mutex);
     if (this->shared->stream != nullptr)
-        this->shared->stream->send(encodeFrame(frame));
+        this->shared->stream->send(toWire(frame));
 }
 
 void PeerClient::maintain(TimePoint now)
--- a/src/net/peer_frame.cpp
+++ b/src/net/peer_frame.cpp
@@ -1,38 +1,36 @@
-/** @file peer_frame.cpp Short encoding of what travels most. */
+/** @file peer_frame.cpp Which encoding each kind of message travels in. */
 #include "net/peer_frame_type.h"
 
-namespace bilberry {
-
-namespace {
+#include "net/generated/peers.pb.h"
+#include "net/link_wire_func.h"
 
-bool isDefault(const nlohmann::json &value)
-{
-    return value.is_null() || (value.is_structured() && value.empty()) || value == 0
-        || value == false;
-}
+namespace bilberry {
 
-bool isSparse(const PeerFrame &frame)
+rpc::Frame toWire(const PeerFrame &frame)
 {
-    if (const auto *message = std::get_if<HostMessage>(&frame))
-        return std::holds_alternative<HostReport>(*message);
-    const auto *message = std::get_if<ControlMessage>(&frame);
-    return message != nullptr && std::holds_alternative<HostGrant>(*message);
+    rpc::Frame wire;
+    const auto *fromHost = std::get_if<HostMessage>(&frame);
+    const auto *toHost = std::get_if<ControlMessage>(&frame);
+    if (fromHost != nullptr && std::holds_alternative<HostReport>(*fromHost))
+        wire.set_report(packReport(std::get<HostReport>(*fromHost)));
+    else if (toHost != nullptr && std::holds_alternative<HostGrant>(*toHost))
+        wire.set_grant(packGrant(std::get<HostGrant>(*toHost)));
+    else
+        wire.set_body(encode(frame));
+    return wire;
 }
 
-} // namespace
-
-std::string encodeFrame(const PeerFrame &frame)
+Result<PeerFrame> fromWire(const rpc::Frame &wire)
 {
-    nlohmann::json json = frame;
-    if (isSparse(frame)) {
-        // [kind of frame, [kind of message, fields]]
-        nlohmann::json &fields = json.at(1).at(1);
-        for (auto it = fields.begin(); it != fields.end();)
-            it = isDefault(*it) ? fields.erase(it) : std::next(it);
+    if (wire.has_report()) {
+        BOOST_OUTCOME_TRY(report, unpackReport(wire.report()));
+        return PeerFrame(HostMessage(std::move(report)));
+    }
+    if (wire.has_grant()) {
+        BOOST_OUTCOME_TRY(grant, unpackGrant(wire.grant()));
+        return PeerFrame(ControlMessage(std::move(grant)));
     }
-    std::string out;
-    nlohmann::json::to_cbor(json, out);
-    return out;
+    return decode<PeerFrame>(wire.body());
 }
 
 } // namespace bilberry
--- a/src/net/peer_frame_type.h
+++ b/src/net/peer_frame_type.h
@@ -7,6 +7,10 @@
 #include <string>
 #include <variant>
 
+namespace bilberry::rpc {
+class Frame;
+}
+
 namespace bilberry {
 
 /** A message between members of the control group. */
@@ -21,11 +25,10 @@
 
 using PeerFrame = std::variant<MemberFrame, HostMessage, ControlMessage>;
 
-/**
- * Reports and grants travel most and are mostly empty: fields that are zero or empty are left out,
- * since that is also what a missing field is read as.
- * @return @p frame as CBOR.
- */
-std::string encodeFrame(const PeerFrame &frame);
+/** @return @p frame as it travels. */
+rpc::Frame toWire(const PeerFrame &frame);
+
+/** @return What @p wire holds, or Errc::Malformed. */
+Result<PeerFrame> fromWire(const rpc::Frame &wire);
 
 } // namespace bilberry
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -34,7 +34,7 @@
 
         void OnReadDone(bool ok) override
         {
-            if (!ok || !this->server.handle(*this, this->incoming.body())) {
+            if (!ok || !this->server.handle(*this, this->incoming)) {
                 this->close();
                 return;
             }
@@ -64,7 +64,7 @@
             delete this;
         }
 
-        void send(std::string body)
+        void send(rpc::Frame frame)
         {
             bool tooMany = false;
             {
@@ -73,8 +73,6 @@
                     return;
                 tooMany = this->queue.size() >= MAX_QUEUED_FRAMES;
                 if (!tooMany) {
-                    rpc::Frame frame;
-                    frame.set_body(std::move(body));
                     this->queue.push_back(std::move(frame));
                     this->writeNext();
                 }
@@ -127,9 +125,9 @@
         return new Stream(*this, context);
     }
 
-    bool handle(Stream &stream, const std::string &body)
+    bool handle(Stream &stream, const rpc::Frame &wire)
     {
-        Result<PeerFrame> frame = decode<PeerFrame>(body);
+        Result<PeerFrame> frame = fromWire(wire);
         if (!frame)
             return false;
         if (const auto *message = std::get_if<HostMessage>(&frame.value())) {
@@ -184,11 +182,11 @@
 
 void PeerServer::sendToHost(const HolderId &holder, const ControlMessage &message)
 {
-    std::string body = encodeFrame(PeerFrame(message));
+    rpc::Frame frame = toWire(PeerFrame(message));
     absl::MutexLock lock(&this->impl->mutex);
     const auto it = this->impl->hosts.find(holder);
     if (it != this->impl->hosts.end())
-        it->second->send(std::move(body));
+        it->second->send(std::move(frame));
 }
 
 int PeerServer::port() const
