Change: [Control] [Host] A leader of many hosts keeps its term

Heartbeats of the group waited behind reports.

Change: messages of the group go first; recalls go to the eight richest holders every 100 ms; pauses grow with the hosts; patience follows the observed delay; a report no longer runs placement (the tick does).

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -20,8 +20,9 @@
 {
     LeasedPool requests;
     LeasedPool tokens;
+    TimePoint recallDue; ///< Next time that hosts may be asked for what they have unspent.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountPools, requests, tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountPools, requests, tokens, recallDue)
 
 /** What a host reported of one target. */
 struct HostSlotDemand
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -19,6 +19,8 @@
 constexpr Duration CRASH_MEMORY = 10min;
 constexpr Duration QUARANTINE_LENGTH = 10min;
 constexpr std::size_t MAX_CRASH_RECORDS = 10'000;
+constexpr std::size_t RECALLED_HOLDERS = 8; ///< Those with most in hand; all would answer at once.
+constexpr Duration RECALL_PAUSE = 100ms; ///< Between two rounds for one account.
 
 /** Adds what the operator tolerates, since leases keep parts of a budget apart for a while. */
 void widen(Account &account, const RateLeeway &leeway)
@@ -262,21 +264,38 @@
     grant.hostCount = std::max(grant.hostCount, 1);
 }
 
-/** Asks the other hosts for unspent budgets of accounts that ran short here. */
-void recallBudgets(const Control &control, const HostReport &report, ControlEffects &effects)
+/** @return Who else has most of an empty pool in hand. */
+std::vector<HolderId> richestHolders(const LeasedPool &pool, const HolderId &asking)
 {
-    const Leadership &leadership = *control.leadership;
+    std::vector<std::pair<std::int64_t, HolderId>> holders;
+    for (const auto &[holder, holding] : pool.holdings) {
+        if (holder != asking && holding.outstanding() > 0)
+            holders.emplace_back(-holding.outstanding(), holder);
+    }
+    const std::size_t count = std::min(holders.size(), RECALLED_HOLDERS);
+    std::partial_sort(holders.begin(), holders.begin() + static_cast<std::ptrdiff_t>(count),
+                      holders.end());
+    std::vector<HolderId> out;
+    for (std::size_t i = 0; i < count; ++i)
+        out.push_back(holders[i].second);
+    return out;
+}
+
+/** Asks other hosts for unspent budgets of accounts that ran short here. */
+void recallBudgets(Control &control, const HostReport &report, ControlEffects &effects,
+                   TimePoint now)
+{
+    Leadership &leadership = *control.leadership;
     std::map<HolderId, Recall> recalls;
     for (const AccountUse &use : report.accounts) {
         const auto pools = leadership.accounts.find(use.account);
-        if (pools == leadership.accounts.end())
+        if (pools == leadership.accounts.end() || now < pools->second.recallDue)
             continue;
         const auto recall = [&](const LeasedPool &pool, std::int64_t want) {
             if (want <= 0 || pool.level >= 1)
                 return;
-            for (const auto &[holder, holding] : pool.holdings) {
-                if (holder == report.holder || holding.outstanding() <= 0)
-                    continue;
+            pools->second.recallDue = now + RECALL_PAUSE;
+            for (const HolderId &holder : richestHolders(pool, report.holder)) {
                 std::vector<AccountId> &accounts = recalls[holder].accounts;
                 if (accounts.empty() || accounts.back() != use.account)
                     accounts.push_back(use.account);
@@ -326,13 +345,9 @@
     grant.clock = clusterTime(control, now);
     noteTargets(control, report, grant, effects, now);
     noteUses(leadership.planner, report.holder.host, report.variants, now);
-    const bool waits = std::any_of(report.variants.begin(), report.variants.end(),
-                                   [](const VariantUse &use) { return use.waiting > 0; });
-    if (waits)
-        runPlacement(control, effects, now);
     noteSuspicions(leadership, report, now);
     grantAccounts(control, report, grant, now);
-    recallBudgets(control, report, effects);
+    recallBudgets(control, report, effects, now);
     grantSlots(control, report, grant, now);
     addDeltas(control, report, grant, now);
     countHosts(leadership, report.holder.host, grant, now);
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -127,19 +127,10 @@
 {
     TimePoint tickDue = MonotonicClock::now();
     while (!this->tasks.isClosed()) {
-        for (Task &task : this->tasks.popAll(TICK)) {
-            if (const auto *inspection = std::get_if<Inspection>(&task)) {
-                (*inspection)(this->control);
-                continue;
-            }
-            const auto &event = std::get<ControlEvent>(task);
-            if (const auto *reply = std::get_if<OrderReplyEvent>(&event))
-                logDecision("orderAnswered",
-                            {{"replica", reply->replica},
-                             {"fencing", reply->fencing},
-                             {"reply", static_cast<int>(reply->reply)}});
-            this->execute(step(this->control, event, MonotonicClock::now()));
-        }
+        const std::optional<ControlEvent> event = takeNext(this->inbox);
+        if (event)
+            this->handle(*event);
+        this->receiveTasks(event ? Duration::zero() : TICK);
         const TimePoint now = MonotonicClock::now();
         if (now < tickDue)
             continue;
@@ -151,6 +142,30 @@
     }
 }
 
+void ControlDuty::receiveTasks(Duration timeout)
+{
+    for (Task &task : this->tasks.popAll(timeout)) {
+        if (const auto *inspection = std::get_if<Inspection>(&task))
+            (*inspection)(this->control);
+        else
+            put(this->inbox, std::get<ControlEvent>(std::move(task)));
+    }
+    if (this->inbox.dropped == this->droppedLogged)
+        return;
+    logDecision("hostMessagesDropped", {{"count", this->inbox.dropped - this->droppedLogged}});
+    this->droppedLogged = this->inbox.dropped;
+}
+
+void ControlDuty::handle(const ControlEvent &event)
+{
+    if (const auto *reply = std::get_if<OrderReplyEvent>(&event))
+        logDecision("orderAnswered",
+                    {{"replica", reply->replica},
+                     {"fencing", reply->fencing},
+                     {"reply", static_cast<int>(reply->reply)}});
+    this->execute(step(this->control, event, MonotonicClock::now()));
+}
+
 void ControlDuty::execute(ControlEffects effects)
 {
     if (this->control.replica.membership.addresses != this->addresses) {
--- a/src/daemon/control_duty_base.h
+++ b/src/daemon/control_duty_base.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "config/settings_type.h"
-#include "control/control_func.h"
+#include "control/control_inbox_base.h"
 #include "core/bounded_ring.h"
 #include "journal/journal_base.h"
 #include "net/peer_client_base.h"
@@ -62,6 +62,8 @@
     bool takeFrame(PeerFrame &&frame);
     void runDecisions();
     void runJournal();
+    void receiveTasks(Duration timeout);
+    void handle(const ControlEvent &event);
     void execute(ControlEffects effects);
     void sendToMember(const OutgoingMessage &message);
     std::string addressOf(const MemberId &member) ABSL_EXCLUSIVE_LOCKS_REQUIRED(linksMutex);
@@ -75,6 +77,8 @@
     BoundedRing<Task> tasks;
     BoundedRing<JournalWrite> writes;
     Control control; ///< Of the decision thread.
+    ControlInbox inbox; ///< Of the decision thread.
+    std::uint64_t droppedLogged = 0; ///< Dropped messages of which the log already tells.
     absl::Mutex linksMutex; ///< The journal thread sends as well.
     std::map<std::string, std::unique_ptr<PeerClient>> links; ///< To members, by address.
     std::map<MemberId, std::string> addresses; ///< Of the present membership.
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -14,6 +14,8 @@
 
 namespace bilberry {
 
+constexpr Duration GRANT_PATIENCE_LEAST = 200ms;
+
 /** What a host is told once. */
 struct HostSettings
 {
@@ -230,6 +232,7 @@
     TimePoint reportDue;
     bool reportWanted = false; ///< Something is short: report as soon as the last one is answered.
     TimePoint urgentAt; ///< When the last report before its time was sent.
+    Duration grantPatience = GRANT_PATIENCE_LEAST; ///< Until a report without answer is sent anew.
     Duration urgentPause{}; ///< Least time from one report to one before its time.
     TimePoint resendDue;
     TimePoint linkProven; ///< Last message of a control host, or last switch.
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-constexpr Duration GRANT_PATIENCE = 200ms; ///< A report without answer is sent anew after this.
+constexpr Duration GRANT_PATIENCE_MOST = 500ms;
 constexpr Duration LINK_SILENCE = 600ms; ///< Without any message, another control host is tried.
+static_assert(GRANT_PATIENCE_MOST < LINK_SILENCE);
 constexpr Duration RESEND_INTERVAL = 500ms;
 
 void changeTerm(Host &host, std::uint64_t term)
@@ -120,6 +121,9 @@
 
 void onGrant(Host &host, const HostGrant &grant, HostEffects &effects, TimePoint now)
 {
+    // With a leader that is late, a report given up too soon would make its answer useless.
+    host.grantPatience
+        = std::clamp<Duration>(2 * (now - grant.sentAt), GRANT_PATIENCE_LEAST, GRANT_PATIENCE_MOST);
     if (grant.sequence != host.reportSequence)
         return; // An answer to an older report: its totals may be behind what was reported since.
     host.grantAwaited = false;
@@ -253,7 +257,7 @@
     }
     if (!host.connected)
         return;
-    const bool waits = host.grantAwaited && now < host.reportSentAt + GRANT_PATIENCE;
+    const bool waits = host.grantAwaited && now < host.reportSentAt + host.grantPatience;
     const bool urgent = host.reportWanted && now >= host.reportSentAt + host.urgentPause;
     if (!waits && (urgent || now >= host.reportDue)) {
         noteUrgency(host, now);
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -14,6 +14,7 @@
 constexpr Duration LOCAL_TARGET_SILENCE = 3s;
 constexpr Duration URGENT_PAUSE_LEAST = 1ms; ///< Between reports that something is short.
 constexpr Duration URGENT_PAUSE_MOST = 40ms; ///< While it stays short.
+constexpr int FEW_HOSTS = 16; ///< Beyond, pauses grow with the hosts that one leader answers.
 constexpr Duration URGENT_MEMORY = 200ms;
 constexpr Duration ACCOUNT_MEMORY = 60s; ///< An account unused for so long is no longer reported.
 constexpr double DEMAND_SMOOTHING = 0.3;
@@ -228,8 +229,10 @@
     if (now >= host.reportDue || !host.reportWanted)
         return;
     const bool again = now < host.urgentAt + URGENT_MEMORY;
-    host.urgentPause
-        = again ? std::min<Duration>(2 * host.urgentPause, URGENT_PAUSE_MOST) : URGENT_PAUSE_LEAST;
+    const int crowd = std::max(host.hostCount / FEW_HOSTS, 1);
+    const Duration most = URGENT_PAUSE_MOST * crowd;
+    host.urgentPause = again ? std::min<Duration>(2 * host.urgentPause, most)
+                             : URGENT_PAUSE_LEAST * crowd * crowd;
     host.urgentAt = now;
 }
 
--- /dev/null
+++ b/src/tests/crowd_test.cpp
@@ -0,0 +1,125 @@
+/** @file crowd_test.cpp Many hosts with one leader: what they cost it, and what keeps it leading.
+ */
+#include "control/control_inbox_base.h"
+#include "host/host_func.h"
+#include "replay/decision_loop_base.h"
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+constexpr int HOSTS = 66;
+constexpr int TARGETS = 12;
+constexpr double LEADER_REPORTS_PER_SECOND = 1'000; ///< Of all hosts; 0.2 ms of a core each.
+
+FolderConfig crowdFolder(double rate)
+{
+    FolderConfig folder;
+    Account account;
+    account.id = AccountId("a");
+    account.requestsPerSecond = account.requestBurst = rate;
+    folder.accounts[account.id] = account;
+    Route route;
+    route.id = RouteId("s");
+    route.path = "/s";
+    route.service = "s";
+    route.repeatable = true;
+    folder.routes[route.id] = route;
+    return folder;
+}
+
+LoopTarget crowdTarget(int number)
+{
+    LoopTarget target;
+    target.announcement.id = TargetId("t" + std::to_string(number));
+    target.announcement.kind = TargetKind::Service;
+    target.announcement.service = "s";
+    target.announcement.zone = ZoneId("z0");
+    target.announcement.start = StartNumber(1);
+    target.announcement.maxConcurrent = 24;
+    target.serviceTime = 50ms;
+    return target;
+}
+
+void sendEach(DecisionLoop &loop, double perSecond, TimePoint from, TimePoint until)
+{
+    int host = 0;
+    for (TimePoint at = from; at < until; at += fromSeconds(1 / perSecond)) {
+        CallerRequest request;
+        request.key = DecisionLoop::keyOf(AccountId("a"));
+        request.path = "/s";
+        request.body = digestOf({"a"});
+        request.timeLimit = 2s;
+        loop.send(host++ % HOSTS, request, at);
+    }
+}
+
+HostMessageEvent reportOf(std::uint64_t sequence)
+{
+    HostReport report;
+    report.sequence = sequence;
+    return {HostMessage(report)};
+}
+
+} // namespace
+
+/** Pattern: an account at twice its rate over many hosts; asking all of them each time is square.
+ */
+Test(crowd, a_scarce_account_costs_the_leader_no_storm, .timeout = 60)
+{
+    DecisionLoop loop(HOSTS, crowdFolder(200), 1);
+    for (int i = 0; i < TARGETS; ++i)
+        loop.addTarget(crowdTarget(i));
+    const TimePoint begin = loop.now() + 4s;
+    sendEach(loop, 400, begin, begin + 5s);
+    loop.runUntil(begin + 1s);
+    const std::uint64_t before = loop.messages;
+    loop.runUntil(begin + 5s);
+    const double perSecond = static_cast<double>(loop.messages - before) / 4 / 2;
+    cr_assert_lt(perSecond, LEADER_REPORTS_PER_SECOND, "%.0f reports a second", perSecond);
+    const auto answered = std::count_if(loop.answers.begin(), loop.answers.end(),
+                                        [](const auto &item) { return item.second.answered; });
+    cr_assert_gt(answered, 950, "%td answered in five seconds of 200 each", answered);
+}
+
+/** Pattern: a leader so busy that each answer takes 300 ms; answers given up help nobody. */
+Test(crowd, hosts_stay_fresh_under_a_late_leader, .timeout = 60)
+{
+    DecisionLoop loop(HOSTS, crowdFolder(200), 1);
+    loop.addTarget(crowdTarget(0));
+    loop.linkDelay = 150ms;
+    loop.runUntil(loop.now() + 5s);
+    for (const LoopHost &item : loop.hosts)
+        cr_assert(isReady(item.host, loop.now()), "%s",
+                  item.host.settings.holder.host.value.c_str());
+}
+
+Test(crowd, the_group_goes_before_the_hosts)
+{
+    ControlInbox inbox;
+    put(inbox, reportOf(1));
+    put(inbox, reportOf(2));
+    put(inbox, SyncedEvent{});
+    cr_assert(std::holds_alternative<SyncedEvent>(*takeNext(inbox)));
+    for (std::uint64_t expected : {1, 2}) {
+        const auto event = takeNext(inbox);
+        const auto &message = std::get<HostMessageEvent>(*event).message;
+        cr_assert_eq(std::get<HostReport>(message).sequence, expected);
+    }
+    cr_assert(!takeNext(inbox));
+}
+
+Test(crowd, a_full_inbox_keeps_the_newest)
+{
+    ControlInbox inbox;
+    for (std::uint64_t i = 1; i <= MAX_WAITING_HOST_MESSAGES + 1; ++i)
+        put(inbox, reportOf(i));
+    cr_assert_eq(inbox.dropped, 1);
+    const auto event = takeNext(inbox);
+    const auto &message = std::get<HostMessageEvent>(*event).message;
+    cr_assert_eq(std::get<HostReport>(message).sequence, 2);
+}
