Change: [Control] [Account] [Link] A leader's work no longer grows with the square of its hosts

Cause: each exchange with a pool looked at all its holders; a whole table was encoded for each of 71 hosts after a start; each change of a target made each of 66 hosts report at once, 20 changes a second.

--- a/src/account/leased_pool.cpp
+++ b/src/account/leased_pool.cpp
@@ -6,6 +6,44 @@
 
 namespace bilberry {
 
+namespace {
+
+constexpr Duration HOLDER_MEMORY = 10min; ///< Totals stay in case the holder is heard of again.
+
+/** Writes off what holders were silent about for too long. */
+void lapseHoldings(LeasedPool &pool, TimePoint now)
+{
+    pool.expiryDue = TimePoint::max();
+    for (auto it = pool.holdings.begin(); it != pool.holdings.end();) {
+        Holding &holding = it->second;
+        if (now < holding.expires) {
+            pool.expiryDue = std::min(pool.expiryDue, holding.expires);
+            ++it;
+            continue;
+        }
+        // The amount lapses: it is neither given back nor handed out again, except what is lent.
+        const std::int64_t lapsed = holding.outstanding();
+        if (pool.rate == 0)
+            pool.level += static_cast<double>(lapsed);
+        holding.lapsed += lapsed;
+        pool.out -= lapsed;
+        if (now >= holding.expires + HOLDER_MEMORY) {
+            it = pool.holdings.erase(it);
+            continue;
+        }
+        pool.expiryDue = std::min(pool.expiryDue, holding.expires + HOLDER_MEMORY);
+        ++it;
+    }
+}
+
+void extend(LeasedPool &pool, Holding &holding, TimePoint expires)
+{
+    holding.expires = std::max(holding.expires, expires);
+    pool.expiryDue = std::min(pool.expiryDue, holding.expires);
+}
+
+} // namespace
+
 LeasedPool makePool(double rate, double bound, TimePoint now)
 {
     LeasedPool pool;
@@ -27,27 +65,13 @@
 
 std::int64_t outstanding(const LeasedPool &pool)
 {
-    std::int64_t sum = 0;
-    for (const auto &[holder, holding] : pool.holdings)
-        sum += holding.outstanding();
-    return sum;
+    return pool.out;
 }
 
 void refresh(LeasedPool &pool, TimePoint now)
 {
-    for (auto it = pool.holdings.begin(); it != pool.holdings.end();) {
-        // The amount lapses: it is neither given back nor handed out again, except what is lent.
-        if (now < it->second.expires) {
-            ++it;
-            continue;
-        }
-        if (pool.rate == 0)
-            pool.level += static_cast<double>(it->second.outstanding());
-        it->second.lapsed += it->second.outstanding();
-        // The totals stay for a while, in case the holder is heard of again.
-        const bool forgotten = now >= it->second.expires + 10min;
-        it = forgotten ? pool.holdings.erase(it) : std::next(it);
-    }
+    if (now >= pool.expiryDue)
+        lapseHoldings(pool, now);
     if (pool.unknown > 0 && now >= pool.unknownUntil) {
         if (pool.rate == 0)
             pool.level += pool.unknown;
@@ -80,6 +104,7 @@
 {
     refresh(pool, now);
     Holding &holding = pool.holdings[holder];
+    const std::int64_t before = holding.outstanding();
     const std::int64_t newlyReturned = std::max<std::int64_t>(returned - holding.returned, 0);
     const std::int64_t newlySpent = std::max<std::int64_t>(spent - holding.spent, 0);
     holding.returned += newlyReturned;
@@ -93,7 +118,8 @@
         holding.granted += overrun;
         pool.level -= static_cast<double>(overrun);
     }
-    holding.expires = std::max(holding.expires, expires);
+    pool.out += holding.outstanding() - before;
+    extend(pool, holding, expires);
 }
 
 void acceptCarried(LeasedPool &pool, const HolderId &holder, std::int64_t carried,
@@ -101,12 +127,13 @@
 {
     refresh(pool, now);
     Holding &holding = pool.holdings[holder];
-    holding.expires = std::max(holding.expires, expires);
+    extend(pool, holding, expires);
     const auto unknown = static_cast<std::int64_t>(std::floor(pool.unknown));
     const std::int64_t accepted = std::clamp<std::int64_t>(carried - holding.carried, 0,
                                                            std::max<std::int64_t>(unknown, 0));
     holding.carried += accepted;
     holding.granted += accepted;
+    pool.out += accepted;
     pool.unknown -= static_cast<double>(accepted);
 }
 
@@ -121,7 +148,8 @@
         return 0;
     Holding &holding = pool.holdings[holder];
     holding.granted += amount;
-    holding.expires = std::max(holding.expires, expires);
+    pool.out += amount;
+    extend(pool, holding, expires);
     pool.level -= static_cast<double>(amount);
     return amount;
 }
--- a/src/account/leased_pool_base.h
+++ b/src/account/leased_pool_base.h
@@ -51,8 +51,10 @@
     double unknown = 0; ///< Amount that holders of an earlier leader may still have.
     TimePoint unknownUntil;
     std::map<HolderId, Holding> holdings;
+    std::int64_t out = 0; ///< Sum of what the holdings have outstanding.
+    TimePoint expiryDue = TimePoint::max(); ///< No holding lapses or is forgotten before this.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LeasedPool, rate, bound, level, refilled, unknown,
-                                                unknownUntil, holdings)
+                                                unknownUntil, holdings, out, expiryDue)
 
 } // namespace bilberry
--- /dev/null
+++ b/src/bench/crowd.cpp
@@ -0,0 +1,124 @@
+/** @file crowd.cpp Measures what many hosts cost their leader. */
+#include "bench/crowd_base.h"
+
+#include "net/link_wire_func.h"
+#include "replay/decision_loop_base.h"
+
+#include <chrono>
+#include <cmath>
+#include <random>
+
+namespace bilberry {
+
+namespace {
+
+constexpr int ENGINES = 90;
+constexpr int MODELS = 480;
+constexpr int MODELS_EACH = 3;
+constexpr int ACCOUNTS = 16;
+constexpr std::int64_t MODEL_MB = 70'000;
+constexpr double REQUESTS_PER_SECOND = 240;
+constexpr Duration WARM_UP = 6s;
+constexpr int SECONDS = 5;
+
+std::string modelName(int number)
+{
+    return "m" + std::to_string(number);
+}
+
+FolderConfig folderOf()
+{
+    FolderConfig folder;
+    for (int i = 0; i < ACCOUNTS; ++i) {
+        Account account;
+        account.id = AccountId("a" + std::to_string(i));
+        folder.accounts[account.id] = account;
+    }
+    for (int i = 0; i < MODELS; ++i) {
+        Model model;
+        model.id = ModelId(modelName(i));
+        model.memoryMb = MODEL_MB;
+        model.version = Version(1);
+        folder.models[model.id] = model;
+    }
+    return folder;
+}
+
+LoopTarget engineOf(int number)
+{
+    LoopTarget target;
+    target.announcement.id = TargetId("engine-" + std::to_string(number));
+    target.announcement.zone = ZoneId("z" + std::to_string(number % 5));
+    target.announcement.memoryMb = (MODELS_EACH + 1) * MODEL_MB - 1;
+    target.announcement.maxConcurrent = 24;
+    target.announcement.start = StartNumber(1);
+    for (int i = 0; i < MODELS_EACH; ++i) {
+        const ModelId model(modelName((number * MODELS_EACH + i) % MODELS));
+        target.announcement.loaded.push_back({{model, {}}, Version(1), MODEL_MB});
+        target.announcement.cached.push_back({model, CacheTier::Disk});
+    }
+    target.serviceTime = 600ms;
+    return target;
+}
+
+void sendAll(DecisionLoop &loop, int hosts, unsigned seed)
+{
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(REQUESTS_PER_SECOND);
+    std::exponential_distribution<double> rank(1.0 / 40);
+    const TimePoint until = loop.now() + WARM_UP + fromSeconds(SECONDS);
+    for (TimePoint at = loop.now() + 1s; at < until; at += fromSeconds(gap(random))) {
+        const int model = static_cast<int>(rank(random)) % (ENGINES * MODELS_EACH);
+        CallerRequest request;
+        request.key = DecisionLoop::keyOf(AccountId("a" + std::to_string(random() % ACCOUNTS)));
+        request.variant = {ModelId(modelName(model)), {}};
+        request.path = "/v1/generate";
+        request.body = digestOf({std::to_string(random())});
+        request.timeLimit = 10s;
+        loop.send(static_cast<int>(random() % static_cast<unsigned>(hosts)), request, at);
+    }
+}
+
+} // namespace
+
+nlohmann::json measureCrowd(int hosts, unsigned seed)
+{
+    DecisionLoop loop(hosts, folderOf(), seed);
+    for (int i = 0; i < ENGINES; ++i)
+        loop.addTarget(engineOf(i));
+    std::chrono::steady_clock::duration leader{};
+    std::chrono::steady_clock::time_point begun;
+    loop.aroundControl = [&](bool begins) {
+        if (begins)
+            begun = std::chrono::steady_clock::now();
+        else
+            leader += std::chrono::steady_clock::now() - begun;
+    };
+    std::uint64_t reports = 0;
+    std::uint64_t reportBytes = 0;
+    loop.dropEffect = [&](const HostEffect &effect) {
+        const auto *message = std::get_if<SendControl>(&effect);
+        if (message == nullptr || !std::holds_alternative<HostReport>(message->message))
+            return false;
+        ++reports;
+        reportBytes += packReport(std::get<HostReport>(message->message)).size();
+        return false;
+    };
+    sendAll(loop, hosts, seed);
+    loop.runUntil(loop.now() + WARM_UP);
+    leader = {};
+    reports = reportBytes = 0;
+    loop.runUntil(loop.now() + fromSeconds(SECONDS));
+    std::size_t answered = 0;
+    for (const auto &[id, answer] : loop.answers)
+        answered += answer.answered ? 1 : 0;
+    const double seconds = std::chrono::duration<double>(leader).count();
+    return {{"hosts", hosts},
+            {"answered", answered},
+            {"ended", loop.answers.size()},
+            {"reportsPerSecond", static_cast<double>(reports) / SECONDS},
+            {"bytesPerReport", static_cast<double>(reportBytes) / static_cast<double>(reports)},
+            {"leaderDecisionCores", seconds / SECONDS}};
+}
+
+} // namespace bilberry
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Measures decisions against naive versions in one run: bilberrybench. */
+#include "bench/crowd_base.h"
 #include "bench/placement_replay_base.h"
 #include "bench/shared_limits_base.h"
 #include "replay/trace_func.h"
@@ -69,9 +70,9 @@
     std::string trace;
     unsigned seeds = 3;
     po::options_description options("bilberrybench");
-    options.add_options()("help",
-                          "this text")("what", po::value(&what)->default_value("placement"),
-                                       "placement, placement-large, fairness, rates or trace")(
+    options.add_options()("help", "this text")(
+        "what", po::value(&what)->default_value("placement"),
+        "placement, placement-large, fairness, rates, crowd or trace")(
         "trace", po::value(&trace), "file that a daemon recorded")("seeds", po::value(&seeds),
                                                                    "number of seeds");
     po::variables_map values;
@@ -84,6 +85,12 @@
     if (what == "trace")
         return printReplay(trace);
     nlohmann::json out = nlohmann::json::array();
+    if (what == "crowd") {
+        for (const int hosts : {30, 66, 100, 300})
+            out.push_back(measureCrowd(hosts, 1));
+        std::cout << out.dump(2) << "\n";
+        return 0;
+    }
     for (unsigned seed = 1; seed <= seeds; ++seed) {
         TraceShape shape;
         if (what == "fairness" || what == "rates") {
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -15,6 +15,7 @@
 namespace bilberry {
 
 constexpr Duration GRANT_PATIENCE_LEAST = 200ms;
+constexpr int FEW_HOSTS = 16; ///< Beyond, hosts report more seldom: one leader answers them all.
 
 /** What a host is told once. */
 struct HostSettings
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -159,8 +159,10 @@
     // Totals of a first grant of a term do not yet count what the host carries over.
     if (sameTerm)
         takeGrants(host, grant, now);
-    if (grant.table || grant.registry)
-        host.reportWanted = true; // Tells the leader at once what is in force here.
+    // Tells the leader at once what is in force here. Among many hosts some target changes all the
+    // time, and each change would be answered by a report of each of them.
+    if ((grant.table || grant.registry) && host.hostCount <= FEW_HOSTS)
+        host.reportWanted = true;
     std::vector<AccountId> accounts;
     for (const auto &[id, held] : host.accounts) {
         if (!held.waiting.empty())
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -14,7 +14,6 @@
 constexpr Duration LOCAL_TARGET_SILENCE = 3s;
 constexpr Duration URGENT_PAUSE_LEAST = 1ms; ///< Between reports that something is short.
 constexpr Duration URGENT_PAUSE_MOST = 40ms; ///< While it stays short.
-constexpr int FEW_HOSTS = 16; ///< Beyond, pauses grow with the hosts that one leader answers.
 constexpr Duration URGENT_MEMORY = 200ms;
 constexpr Duration ACCOUNT_MEMORY = 60s; ///< An account unused for so long is no longer reported.
 constexpr double DEMAND_SMOOTHING = 0.3;
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -115,7 +115,7 @@
 {
     static auto of(auto &v)
     {
-        return std::tie(v.sequence, v.sentAt, v.term, v.table, v.registry, v.accounts, v.slots,
+        return std::tie(v.sequence, v.sentAt, v.term, v.registry, v.accounts, v.slots,
                         v.membershipIndex, v.controlHosts, v.clock, v.suspectsVersion, v.suspects,
                         v.unknownTargets, v.hostCount, v.hostRank);
     }
@@ -217,28 +217,6 @@
         }
     };
 
-    /** The records of a table change seldom and stay CBOR. */
-    template <> struct pack<bilberry::TableDelta, void>
-    {
-        template <class Stream>
-        auto &operator()(packer<Stream> &out, const bilberry::TableDelta &value) const
-        {
-            return out.pack(bilberry::encode(value));
-        }
-    };
-    template <> struct convert<bilberry::TableDelta, void>
-    {
-        const msgpack::object &operator()(const msgpack::object &in,
-                                          bilberry::TableDelta &value) const
-        {
-            auto table = bilberry::decode<bilberry::TableDelta>(in.as<std::string>());
-            if (!table)
-                throw type_error();
-            value = std::move(table).value();
-            return in;
-        }
-    };
-
     } // namespace adaptor
 }
 } // namespace msgpack
@@ -254,6 +232,16 @@
     return {buffer.data(), buffer.size()};
 }
 
+/** @return A table as CBOR: its records are of many kinds and change seldom. */
+std::string packTable(const TableDelta &table, PackedTable &whole)
+{
+    if (!table.full)
+        return encode(table);
+    if (whole.bytes.empty() || whole.version != table.version)
+        whole = {table.version, encode(table)};
+    return whole.bytes;
+}
+
 template <class T> Result<T> unpackAll(std::string_view bytes)
 {
     try {
@@ -278,14 +266,22 @@
     return unpackAll<HostReport>(bytes);
 }
 
-std::string packGrant(const HostGrant &grant)
+std::string packGrant(const HostGrant &grant, PackedTable &whole)
 {
-    return packAll(grant);
+    const std::string table = grant.table ? packTable(*grant.table, whole) : std::string();
+    return packAll(std::tie(grant, table));
 }
 
 Result<HostGrant> unpackGrant(std::string_view bytes)
 {
-    return unpackAll<HostGrant>(bytes);
+    using GrantAndTable = std::tuple<HostGrant, std::string>;
+    BOOST_OUTCOME_TRY(content, unpackAll<GrantAndTable>(bytes));
+    auto &[grant, table] = content;
+    if (!table.empty()) {
+        BOOST_OUTCOME_TRY(delta, decode<TableDelta>(table));
+        grant.table = std::move(delta);
+    }
+    return std::move(grant);
 }
 
 } // namespace bilberry
--- a/src/net/link_wire_func.h
+++ b/src/net/link_wire_func.h
@@ -19,8 +19,18 @@
 /** @return The report, or Errc::Malformed. */
 Result<HostReport> unpackReport(std::string_view bytes);
 
-/** @return @p grant as MessagePack, encoded as reports are. */
-std::string packGrant(const HostGrant &grant);
+/** A whole table as it travels: after a change of leaders, all hosts ask for the same one. */
+struct PackedTable
+{
+    Version version;
+    std::string bytes; ///< Empty: none was sent yet.
+};
+
+/**
+ * @param whole Used in place of encoding the same whole table again, and replaced by a newer one.
+ * @return @p grant as MessagePack, encoded as reports are.
+ */
+std::string packGrant(const HostGrant &grant, PackedTable &whole);
 
 /** @return The grant, or Errc::Malformed. */
 Result<HostGrant> unpackGrant(std::string_view bytes);
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -172,9 +172,10 @@
 
 void PeerClient::send(const PeerFrame &frame)
 {
+    PackedTable none; // Grants go the other way.
     absl::MutexLock lock(&this->shared->mutex);
     if (this->shared->stream != nullptr)
-        this->shared->stream->send(toWire(frame));
+        this->shared->stream->send(toWire(frame, none));
 }
 
 void PeerClient::maintain(TimePoint now)
--- a/src/net/peer_frame.cpp
+++ b/src/net/peer_frame.cpp
@@ -2,11 +2,10 @@
 #include "net/peer_frame_type.h"
 
 #include "net/generated/peers.pb.h"
-#include "net/link_wire_func.h"
 
 namespace bilberry {
 
-rpc::Frame toWire(const PeerFrame &frame)
+rpc::Frame toWire(const PeerFrame &frame, PackedTable &whole)
 {
     rpc::Frame wire;
     const auto *fromHost = std::get_if<HostMessage>(&frame);
@@ -14,7 +13,7 @@
     if (fromHost != nullptr && std::holds_alternative<HostReport>(*fromHost))
         wire.set_report(packReport(std::get<HostReport>(*fromHost)));
     else if (toHost != nullptr && std::holds_alternative<HostGrant>(*toHost))
-        wire.set_grant(packGrant(std::get<HostGrant>(*toHost)));
+        wire.set_grant(packGrant(std::get<HostGrant>(*toHost), whole));
     else
         wire.set_body(encode(frame));
     return wire;
--- a/src/net/peer_frame_type.h
+++ b/src/net/peer_frame_type.h
@@ -3,6 +3,7 @@
 
 #include "consensus/replica_type.h"
 #include "link/link_type.h"
+#include "net/link_wire_func.h"
 
 #include <string>
 #include <variant>
@@ -25,8 +26,8 @@
 
 using PeerFrame = std::variant<MemberFrame, HostMessage, ControlMessage>;
 
-/** @return @p frame as it travels. */
-rpc::Frame toWire(const PeerFrame &frame);
+/** @return @p frame as it travels. @param whole See packGrant(). */
+rpc::Frame toWire(const PeerFrame &frame, PackedTable &whole);
 
 /** @return What @p wire holds, or Errc::Malformed. */
 Result<PeerFrame> fromWire(const rpc::Frame &wire);
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -147,6 +147,7 @@
     OnFrame onFrame;
     absl::Mutex mutex;
     std::map<HolderId, Stream *> hosts;
+    PackedTable lastTable;
     std::unique_ptr<grpc::Server> server;
     int port = 0;
 };
@@ -182,8 +183,8 @@
 
 void PeerServer::sendToHost(const HolderId &holder, const ControlMessage &message)
 {
-    rpc::Frame frame = toWire(PeerFrame(message));
     absl::MutexLock lock(&this->impl->mutex);
+    rpc::Frame frame = toWire(PeerFrame(message), this->impl->lastTable);
     const auto it = this->impl->hosts.find(holder);
     if (it != this->impl->hosts.end())
         it->second->send(std::move(frame));
--- a/src/replay/decision_loop.cpp
+++ b/src/replay/decision_loop.cpp
@@ -233,7 +233,12 @@
 
 void DecisionLoop::stepControl(const ControlEvent &event)
 {
-    this->take(step(this->control, event, this->time));
+    if (this->aroundControl)
+        this->aroundControl(true);
+    const ControlEffects effects = step(this->control, event, this->time);
+    if (this->aroundControl)
+        this->aroundControl(false);
+    this->take(effects);
 }
 
 void DecisionLoop::take(const ControlEffects &effects)
--- a/src/replay/decision_loop_base.h
+++ b/src/replay/decision_loop_base.h
@@ -78,6 +78,7 @@
     Duration linkDelay = 1ms; ///< One way between hosts and the leader.
     Duration syncDelay = 1ms;
     std::function<bool(const HostEffect &)> dropEffect; ///< For tests: true loses the effect.
+    std::function<void(bool begins)> aroundControl; ///< For measurements: about each control step.
     std::function<void()> afterEvent; ///< For tests: called between any two events.
     std::vector<LoopHost> hosts;
     std::map<TargetId, LoopTarget> targets;
--- a/src/tests/crowd_test.cpp
+++ b/src/tests/crowd_test.cpp
@@ -58,6 +58,45 @@
     }
 }
 
+std::size_t reportsIn(const HostEffects &effects)
+{
+    return static_cast<std::size_t>(
+        std::count_if(effects.begin(), effects.end(), [](const HostEffect &effect) {
+            return std::holds_alternative<SendControl>(effect);
+        }));
+}
+
+HostGrant changeOf(std::uint64_t report, int hosts, TimePoint now)
+{
+    HostGrant grant;
+    grant.sequence = report;
+    grant.sentAt = now;
+    grant.term = 1;
+    grant.hostCount = hosts;
+    grant.registry = RegistryDelta{1, report == 1, Version(report), {}, {}};
+    return grant;
+}
+
+/** @return Reports before their time that a change of the registry brings about. */
+std::size_t urgentAcknowledgements(int hosts)
+{
+    HostSettings settings;
+    settings.holder = {HostId("h"), 1};
+    settings.reportInterval = 250ms;
+    TimePoint now(1s);
+    Host host = makeHost(settings, now);
+    cr_assert_eq(reportsIn(step(host, ControlLinkEvent{true}, now)), 1);
+    // A first grant of a term is followed by a report in any case.
+    std::size_t reports = reportsIn(step(host, ControlMessageEvent{changeOf(1, hosts, now)}, now));
+    now += 100ms;
+    reports += reportsIn(step(host, TickEvent{}, now));
+    cr_assert_eq(reports, 1);
+    reports = reportsIn(step(host, ControlMessageEvent{changeOf(2, hosts, now)}, now));
+    for (const TimePoint end = now + 100ms; now < end; now += 5ms)
+        reports += reportsIn(step(host, TickEvent{}, now));
+    return reports;
+}
+
 HostMessageEvent reportOf(std::uint64_t sequence)
 {
     HostReport report;
@@ -86,6 +125,13 @@
     cr_assert_gt(answered, 950, "%td answered in five seconds of 200 each", answered);
 }
 
+/** Pattern: engines load and unload all day; each host would answer each change by a report. */
+Test(crowd, only_few_hosts_acknowledge_changes_at_once)
+{
+    cr_assert_eq(urgentAcknowledgements(9), 1);
+    cr_assert_eq(urgentAcknowledgements(HOSTS), 0);
+}
+
 /** Pattern: a leader so busy that each answer takes 300 ms; answers given up help nobody. */
 Test(crowd, hosts_stay_fresh_under_a_late_leader, .timeout = 60)
 {
--- a/src/tests/peer_frame_test.cpp
+++ b/src/tests/peer_frame_test.cpp
@@ -82,9 +82,15 @@
     return out;
 }
 
+rpc::Frame wireOf(const PeerFrame &frame)
+{
+    PackedTable none;
+    return toWire(frame, none);
+}
+
 void checkRoundTrip(const PeerFrame &frame)
 {
-    const rpc::Frame wire = toWire(frame);
+    const rpc::Frame wire = wireOf(frame);
     const auto back = fromWire(wire);
     cr_assert(back);
     const nlohmann::json expected = frame;
@@ -99,7 +105,7 @@
          {PeerFrame(HostMessage(fullReport())), PeerFrame(ControlMessage(fullGrant()))}) {
         checkRoundTrip(frame);
         // Names of fields alone take more than half.
-        cr_assert_lt(2 * toWire(frame).ByteSizeLong(), encode(frame).size());
+        cr_assert_lt(2 * wireOf(frame).ByteSizeLong(), encode(frame).size());
     }
     checkRoundTrip(PeerFrame(HostMessage(HostReport{})));
     checkRoundTrip(PeerFrame(ControlMessage(HostGrant{})));
@@ -108,7 +114,7 @@
 
 Test(peer_frame, what_is_cut_short_or_foreign_is_malformed)
 {
-    const std::string whole = toWire(PeerFrame(HostMessage(fullReport()))).report();
+    const std::string whole = wireOf(PeerFrame(HostMessage(fullReport()))).report();
     for (std::size_t length = 0; length < whole.size(); ++length) {
         rpc::Frame cut;
         cut.set_report(whole.substr(0, length));
@@ -118,3 +124,22 @@
     foreign.set_grant("\x01");
     cr_assert(!fromWire(foreign));
 }
+
+/** Pattern: a new leader, or many hosts that start at once. */
+Test(peer_frame, a_whole_table_is_encoded_once_for_all_hosts)
+{
+    HostGrant grant = fullGrant();
+    PackedTable whole;
+    const std::string first = packGrant(grant, whole);
+    cr_assert_eq(whole.version, grant.table->version);
+    const std::string known = whole.bytes;
+    cr_assert_eq(packGrant(grant, whole), first);
+    grant.table->version = Version(2);
+    const std::string newer = packGrant(grant, whole);
+    cr_assert_neq(whole.bytes, known);
+    cr_assert_eq(unpackGrant(newer).value().table->version, Version(2));
+    grant.table->version = Version(3);
+    grant.table->full = false;
+    cr_assert_eq(unpackGrant(packGrant(grant, whole)).value().table->version, Version(3));
+    cr_assert_eq(whole.version, Version(2), "a part of a table is not the whole");
+}
