Add: [Ctl] explain names the cause of a failed request from logs

bilberryctl explain ID|target ID|version N FILE... prints the lines of several hosts in order and the cause in a sentence. Tested on recorded lines: a model under way, one that nobody loaded, a rate, a new leader, a target that fell silent, one that lived on.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,12 +1,15 @@
 /** @file main.cpp The operators' tool: bilberryctl. */
 #include "config/folder_func.h"
 #include "ctl/client_func.h"
+#include "ctl/explain_func.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <boost/program_options.hpp>
 #include <curl/curl.h>
+#include <fstream>
 #include <iostream>
 #include <openssl/rand.h>
 #include <thread>
@@ -34,6 +37,9 @@
   key withdraw KEY-ID           withdraw a key
   zone out ZONE | zone in ZONE  take an availability zone out, or back in
   target leave TARGET | target return TARGET
+  explain ID FILE...            path and cause of the request with the caller's id, from logs
+  explain target ID FILE...     the same for a target
+  explain version N FILE...     the same for a configuration
   member show                   identity of the first daemon's control member
   member add ID IP:PORT | member replace OLD-ID ID IP:PORT | member remove ID
 )";
@@ -216,6 +222,37 @@
     return status == 200 ? 0 : EXIT_REFUSED;
 }
 
+/** @return Exit code; EXIT_REFUSED if no line speaks of what was asked. */
+int explain(const std::vector<std::string> &words)
+{
+    const bool target = words[1] == "target";
+    const bool version = words[1] == "version";
+    const std::size_t id = target || version ? 2 : 1;
+    if (words.size() < id + 2)
+        return EXIT_USAGE;
+    std::vector<LogLine> lines;
+    for (std::size_t i = id + 1; i < words.size(); ++i) {
+        std::ifstream file(words[i]);
+        if (!file) {
+            std::cerr << words[i] << ": cannot be read\n";
+            return EXIT_USAGE;
+        }
+        const std::vector<LogLine> part = readLogLines(file);
+        lines.insert(lines.end(), part.begin(), part.end());
+    }
+    sortLogLines(lines);
+    std::uint64_t number = 0;
+    if (version && !absl::SimpleAtoi(words[id], &number)) {
+        std::cerr << words[id] << ": expected a number\n";
+        return EXIT_USAGE;
+    }
+    const Explanation explanation = target ? explainTarget(lines, words[id])
+        : version                          ? explainVersion(lines, number)
+                                           : explainRequest(lines, words[id]);
+    std::cout << describe(explanation);
+    return explanation.cause.empty() ? EXIT_REFUSED : 0;
+}
+
 int showStatus(const Context &context)
 {
     Errc error = Errc::Ok;
@@ -255,6 +292,8 @@
         const SetTargetLeaving change{changeIdOf(context), TargetId(words[2]), words[1] == "leave"};
         return settle(context, ask(context, change), {});
     }
+    if (words.size() > 2 && words[0] == "explain")
+        return explain(words);
     if (is(2, "member", "show"))
         return print(context, "/member");
     if (words.size() > 2 && words[0] == "member")
--- /dev/null
+++ b/src/tests/explain_test.cpp
@@ -0,0 +1,78 @@
+/** @file explain_test.cpp From a request's id to its cause, on recorded log lines. */
+#include "ctl/explain_func.h"
+
+#include <absl/strings/match.h>
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+/** Lines as the hosts wrote them, with what a collector puts before them. */
+constexpr const char *RECORDED = R"(
+ 1.0 core-1 {"event":"leadershipWon","host":"core-1","term":1,"unixMs":1000}
+ 2.0 core-1 {"event":"operatorCall","call":"replaceConfig 7","outcome":"ok","host":"core-1","unixMs":2000}
+ 2.1 core-2 {"event":"operatorCall","call":"replaceConfig 8","outcome":"unavailable","host":"core-2","unixMs":2100}
+ 9.0 core-1 {"event":"orderSent","action":"load","fencing":4,"replica":"t1/m1:","host":"core-1","unixMs":9000}
+ 9.1 core-1 {"event":"orderAnswered","fencing":4,"replica":"t1/m1:","reply":0,"host":"core-1","unixMs":9100}
+ 9.5 front-1 {"event":"requestRefused","type":"no_target","tag":"cold","variant":"m1","freshMs":900,"host":"front-1","unixMs":9500}
+ 9.6 front-1 {"event":"requestRefused","type":"no_target","tag":"unwanted","variant":"m2/a1","freshMs":900,"host":"front-1","unixMs":9600}
+not a line of the log
+10.0 front-1 {"event":"attemptStarted","attempt":5,"target":"t1","tag":"broken","host":"front-1","unixMs":10000}
+10.0 front-2 {"event":"attemptStarted","attempt":5,"target":"t2","tag":"other","host":"front-2","unixMs":10001}
+10.2 front-1 {"event":"attemptEnded","attempt":5,"result":"lost","events":3,"status":200,"host":"front-1","unixMs":10200}
+10.2 front-1 {"event":"requestRefused","type":"may_have_run","tag":"broken","freshMs":900,"host":"front-1","unixMs":10201}
+10.3 front-2 {"event":"attemptEnded","attempt":5,"result":"stalled","events":0,"status":0,"host":"front-2","unixMs":10300}
+13.0 core-1 {"event":"targetSilent","target":"t1","host":"core-1","unixMs":13000}
+20.0 core-1 {"event":"leadershipEnded","term":1,"host":"core-1","unixMs":20000}
+20.5 core-2 {"event":"leadershipWon","term":2,"host":"core-2","unixMs":20500}
+21.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"early","freshMs":900,"host":"front-1","unixMs":21000}
+30.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"over","freshMs":900,"host":"front-1","unixMs":30000}
+30.1 front-2 {"event":"requestRefused","type":"token_rate_limited","tag":"over2","freshMs":900,"host":"front-2","unixMs":30100}
+)";
+
+std::vector<LogLine> recorded()
+{
+    std::istringstream in(RECORDED);
+    std::vector<LogLine> lines = readLogLines(in);
+    sortLogLines(lines);
+    return lines;
+}
+
+void checkCause(const std::string &tag, std::size_t lines, const std::string &part)
+{
+    const Explanation explanation = explainRequest(recorded(), tag);
+    cr_assert_eq(explanation.path.size(), lines, "%s: %zu lines", tag.c_str(),
+                 explanation.path.size());
+    cr_assert(absl::StrContains(explanation.cause, part), "%s: %s", tag.c_str(),
+              explanation.cause.c_str());
+}
+
+} // namespace
+
+Test(explain, a_refusal_names_what_the_leader_did)
+{
+    checkCause("cold", 1, "m1 was being loaded as t1/m1:, ordered 500 ms before");
+    checkCause("unwanted", 1, "no target had m2/a1 and none was told");
+    checkCause("early", 1, "core-2 had become the leader 500 ms before");
+    checkCause("over", 1, "over its rate: 2 such refusals");
+}
+
+Test(explain, a_broken_answer_names_the_fate_of_its_target)
+{
+    checkCause("broken", 3, "the attempt on t1 was lost after 3 events; t1 fell silent");
+    checkCause("other", 2, "stalled after 0 events; t2 lived on");
+    cr_assert(explainRequest(recorded(), "unknown").cause.empty());
+}
+
+Test(explain, targets_and_versions)
+{
+    const Explanation target = explainTarget(recorded(), "t1");
+    cr_assert_eq(target.path.size(), 4);
+    cr_assert(absl::StrContains(target.cause, "fell silent"));
+    cr_assert(absl::StrContains(explainVersion(recorded(), 7).cause, "first by core-1"));
+    cr_assert(absl::StrContains(explainVersion(recorded(), 8).cause, "never accepted"));
+    cr_assert(explainVersion(recorded(), 9).cause.empty());
+}
