--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -1,4 +1,5 @@
 /** @file control.cpp Decisions of a control member. */
+#include "control/assumption_func.h"
 #include "control/control_internal.h"
 
 #include "state/cluster_func.h"
@@ -220,8 +221,9 @@
     if (order.action == OrderAction::Unload && !event.done)
         return;
     const bool loads = order.action == OrderAction::Load;
-    leadership.assumptions.push_back({now + (loads ? ADAPTER_LOAD : Duration::zero()), order.target,
-                                      order.start, order.variant, order.version, loads});
+    assume(leadership,
+           {now + (loads ? ADAPTER_LOAD : Duration::zero()), order.target, order.start,
+            order.variant, order.version, loads});
 }
 
 void onInspection(Control &control, const InspectionEvent &event, TimePoint now)
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -101,6 +101,7 @@
     Variant variant;
     Version version;
     bool loaded = false;
+    bool applied = false; ///< Whether the registry shows it.
 };
 
 /** Soft state of one leadership. */
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -1,4 +1,5 @@
 /** @file host_report.cpp Answers reports of hosts with grants and deltas. */
+#include "control/assumption_func.h"
 #include "control/control_internal.h"
 
 #include "account/leased_pool_func.h"
@@ -170,7 +171,8 @@
 {
     Leadership &leadership = *control.leadership;
     for (const TargetAnnouncement &announcement : report.targets) {
-        const AnnounceOutcome outcome = announce(leadership.registry, announcement, now);
+        const AnnounceOutcome outcome
+            = announce(leadership.registry, withAssumptions(leadership, announcement, now), now);
         if (outcome == AnnounceOutcome::Restarted)
             leadership.slots.erase(announcement.id);
         const bool news
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -1,4 +1,5 @@
 /** @file placement_cmd.cpp Commits placement decisions and sends the orders that follow. */
+#include "control/assumption_func.h"
 #include "control/control_internal.h"
 
 #include "state/view_func.h"
@@ -71,32 +72,12 @@
     }
 }
 
-/** Targets announce adapters late: what they accepted counts as done after its usual time. */
-void assumeAdapters(Leadership &leadership, TimePoint now)
-{
-    std::erase_if(leadership.assumptions, [&](const AdapterAssumption &item) {
-        if (now < item.at)
-            return false;
-        const auto entry = leadership.registry.targets.find(item.target);
-        if (entry == leadership.registry.targets.end()
-            || entry->second.announcement.start != item.start)
-            return true;
-        std::vector<LoadedVariant> &loaded = entry->second.announcement.loaded;
-        std::erase_if(loaded, [&](const LoadedVariant &l) { return l.variant == item.variant; });
-        if (item.loaded)
-            loaded.push_back({item.variant, item.version, 0});
-        entry->second.modified = Version(++leadership.registry.version.value);
-        leadership.placementDue = now;
-        return true;
-    });
-}
-
 void sendDueOrders(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
     publishUnloads(control);
     publishLoads(control);
-    assumeAdapters(leadership, now);
+    applyAssumptions(leadership, now);
     const PlacementView input{control.cluster.view, leadership.registry,
                               control.cluster.lastFencing};
     const auto drained = [&](const Replica &replica) {
