Fix: [Link] Late grants bring hosts up to date; queues to silent peers are bounded in bytes

Change: an answer to an older report brings table, registry and freshness, never budgets; a newer grant takes the place of one that waits; 8 MB at most wait for a member.

--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -119,24 +119,40 @@
     (void)now;
 }
 
+/** Takes over what is in force. @return Whether it could be. */
+bool takeFacts(Host &host, const HostGrant &grant, TimePoint now)
+{
+    if (grant.table && grant.table->version > host.table) {
+        const bool applied = static_cast<bool>(applyDelta(host.view, *grant.table));
+        host.table = applied ? grant.table->version : Version(0);
+        if (!applied)
+            return false;
+    }
+    const auto known = std::pair(host.registryEpoch, host.registry);
+    if (grant.registry && std::pair(grant.registry->epoch, grant.registry->version) > known)
+        applyRegistry(host, *grant.registry, now);
+    host.freshUntil = std::max(host.freshUntil, grant.sentAt + host.settings.freshnessLease);
+    return true;
+}
+
 void onGrant(Host &host, const HostGrant &grant, HostEffects &effects, TimePoint now)
 {
     // With a leader that is late, a report given up too soon would make its answer useless.
     host.grantPatience
         = std::clamp<Duration>(2 * (now - grant.sentAt), GRANT_PATIENCE_LEAST, GRANT_PATIENCE_MOST);
-    if (grant.sequence != host.reportSequence)
-        return; // An answer to an older report: its totals may be behind what was reported since.
+    if (grant.term < host.term)
+        return;
+    // An answer to an older report: its facts hold, but its totals may be behind what was reported
+    // since.
+    if (grant.sequence != host.reportSequence) {
+        (void)takeFacts(host, grant, now);
+        return;
+    }
     host.grantAwaited = false;
     const bool sameTerm = host.term == grant.term;
     changeTerm(host, grant.term);
-    if (grant.table) {
-        const bool applied = static_cast<bool>(applyDelta(host.view, *grant.table));
-        host.table = applied ? grant.table->version : Version(0);
-        if (!applied)
-            return;
-    }
-    if (grant.registry)
-        applyRegistry(host, *grant.registry, now);
+    if (!takeFacts(host, grant, now))
+        return;
     for (auto &[id, local] : host.local)
         local.changed = local.changed && local.heard > host.reportSentAt;
     for (const TargetId &id : grant.unknownTargets) {
@@ -151,7 +167,6 @@
     host.clockAt = now;
     host.hostCount = std::max(grant.hostCount, 1);
     host.hostRank = grant.hostRank;
-    host.freshUntil = std::max(host.freshUntil, grant.sentAt + host.settings.freshnessLease);
     if (grant.membershipIndex != host.membershipIndex && !grant.controlHosts.empty()) {
         host.membershipIndex = grant.membershipIndex;
         effects.push_back(SwitchControl{"", grant.controlHosts});
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t MAX_QUEUED_FRAMES = 4'096;
+constexpr std::size_t MAX_QUEUED_BYTES = 8
+    << 20; ///< To one receiver; a single frame may be larger.
 constexpr int MAX_FRAME_BYTES = 64 << 20;
 constexpr int KEEPALIVE_MS = 1'000;
 constexpr Duration RECONNECT_LEAST = 50ms;
@@ -95,6 +97,7 @@
     void OnWriteDone(bool ok) override
     {
         absl::MutexLock lock(&this->mutex);
+        this->queuedBytes -= this->queue.front().ByteSizeLong();
         this->queue.pop_front();
         this->writing = false;
         if (ok)
@@ -119,8 +122,12 @@
     void send(rpc::Frame frame)
     {
         absl::MutexLock lock(&this->mutex);
-        if (this->queue.size() >= MAX_QUEUED_FRAMES)
+        const std::size_t size = frame.ByteSizeLong();
+        const bool full = this->queue.size() >= MAX_QUEUED_FRAMES
+            || this->queuedBytes + size > MAX_QUEUED_BYTES;
+        if (full && !this->queue.empty())
             return;
+        this->queuedBytes += size;
         this->queue.push_back(std::move(frame));
         this->writeNext();
     }
@@ -149,6 +156,7 @@
     rpc::Frame incoming;
     absl::Mutex mutex;
     std::deque<rpc::Frame> queue;
+    std::size_t queuedBytes = 0;
     bool writing = false;
     bool closed = false; ///< No further write may start.
 };
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -4,6 +4,7 @@
 #include "net/generated/peers.grpc.pb.h"
 
 #include <absl/synchronization/mutex.h>
+#include <algorithm>
 #include <deque>
 #include <grpcpp/grpcpp.h>
 #include <map>
@@ -71,6 +72,8 @@
                 absl::MutexLock lock(&this->mutex);
                 if (this->closing)
                     return;
+                if (frame.has_grant())
+                    this->dropSuperseded();
                 tooMany = this->queue.size() >= MAX_QUEUED_FRAMES;
                 if (!tooMany) {
                     this->queue.push_back(std::move(frame));
@@ -82,6 +85,16 @@
         }
 
     private:
+        /** A receiver that reads nothing would pile up grants; each new one stands for all. */
+        void dropSuperseded()
+        {
+            const auto firstUnsent = this->queue.begin() + (this->writing ? 1 : 0);
+            this->queue.erase(
+                std::remove_if(firstUnsent, this->queue.end(),
+                               [](const rpc::Frame &waiting) { return waiting.has_grant(); }),
+                this->queue.end());
+        }
+
         void writeNext()
         {
             if (this->writing || this->queue.empty())
--- a/src/tests/crowd_test.cpp
+++ b/src/tests/crowd_test.cpp
@@ -144,6 +144,30 @@
                   item.host.settings.holder.host.value.c_str());
 }
 
+/** Pattern: hosts that start together ask for so much that each answer comes after the next report.
+ */
+Test(crowd, the_facts_of_a_late_answer_hold_its_budgets_do_not)
+{
+    HostSettings settings;
+    settings.holder = {HostId("h"), 1};
+    const TimePoint start(1s);
+    Host host = makeHost(settings, start);
+    (void)step(host, ControlLinkEvent{true}, start);
+    (void)step(host, TickEvent{}, start + 250ms);
+    cr_assert_gt(host.reportSequence, 1);
+    HostGrant grant = changeOf(1, HOSTS, start);
+    grant.table = TableDelta{Version(5), true, {}};
+    grant.accounts = {{AccountId("a"), 10, 10, {}, {}, false}};
+    (void)step(host, ControlMessageEvent{grant}, start + 300ms);
+    cr_assert_eq(host.table, Version(5));
+    cr_assert_eq(host.registry, Version(1));
+    cr_assert_eq(host.freshUntil, start + host.settings.freshnessLease);
+    cr_assert_eq(host.accounts.size(), 0);
+    grant.table->version = Version(4);
+    (void)step(host, ControlMessageEvent{grant}, start + 310ms);
+    cr_assert_eq(host.table, Version(5), "never an older table");
+}
+
 Test(crowd, the_group_goes_before_the_hosts)
 {
     ControlInbox inbox;
