--- a/src/tests/system/fleet.py
+++ b/src/tests/system/fleet.py
@@ -16,7 +16,18 @@
 START_LIMIT_S = 20
 
 
-PORTS = itertools.cycle(range(10_000 + os.getpid() % 10_000, 30_000))
+PORT_RANGE = (10_000, 30_000)
+PORTS_APART = 397  # Between processes that were started one after the other.
+
+
+def port_sequence():
+    """All ports of the range again and again, from a place that depends on the process."""
+    first, last = PORT_RANGE
+    begin = os.getpid() * PORTS_APART % (last - first)
+    return itertools.cycle([first + (begin + i) % (last - first) for i in range(last - first)])
+
+
+PORTS = port_sequence()
 
 
 def free_ports(count):
@@ -136,11 +147,11 @@
         except ValueError:
             return done.returncode, done.stdout + done.stderr
 
-    def apply(self, *options, folder=None):
+    def apply(self, *options, folder=None, timeout=20):
         path = tempfile.mkdtemp(dir=self.run)
         with open(f"{path}/all.json", "w", encoding="utf-8") as out:
             json.dump(folder or self.folder, out)
-        return self.ctl(*options, "apply", path)
+        return self.ctl(*options, "apply", path, timeout=timeout)
 
     def set_up(self):
         """Applies the folder and grants a key to each account."""
