Fix: [Control] [Host] Two gaps of the late facts, found in review

An adapter that was just ordered was kept in announcements after its model had gone; a part of a table that came late was taken for the whole by a host that had none.

--- a/src/control/assumption.cpp
+++ b/src/control/assumption.cpp
@@ -7,13 +7,17 @@
 
 namespace {
 
+/** An adapter goes with its model, whatever was ordered of it before. */
 void amend(TargetAnnouncement &announcement, const AdapterAssumption &item)
 {
     std::vector<LoadedVariant> &loaded = announcement.loaded;
-    const auto found = std::find_if(loaded.begin(), loaded.end(), [&](const LoadedVariant &l) {
-        return l.variant == item.variant;
-    });
-    if (item.loaded && found == loaded.end())
+    const auto find = [&](const Variant &variant) {
+        return std::find_if(loaded.begin(), loaded.end(),
+                            [&](const LoadedVariant &l) { return l.variant == variant; });
+    };
+    const auto found = find(item.variant);
+    const bool holdsModel = find({item.variant.model, {}}) != loaded.end();
+    if (item.loaded && holdsModel && found == loaded.end())
         loaded.push_back({item.variant, item.version, 0});
     else if (!item.loaded && found != loaded.end())
         loaded.erase(found);
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -126,7 +126,9 @@
  */
 bool takeFacts(Host &host, const HostGrant &grant, bool late, TimePoint now)
 {
-    if (grant.table && (!late || grant.table->version > host.table)) {
+    // A part of a table is of use to a host that has the rest.
+    const bool fits = grant.table && (grant.table->full || host.table.value != 0);
+    if (grant.table && (!late || (fits && grant.table->version > host.table))) {
         const bool applied = static_cast<bool>(applyDelta(host.view, *grant.table));
         host.table = applied ? grant.table->version : Version(0);
         if (!applied)
--- a/src/tests/crowd_test.cpp
+++ b/src/tests/crowd_test.cpp
@@ -188,6 +188,10 @@
     grant.table = std::make_shared<const TableDelta>(TableDelta{Version(4), true, {}});
     (void)step(host, ControlMessageEvent{grant}, start + 310ms);
     cr_assert_eq(host.table, Version(5), "never an older table");
+    host.table = Version(0);
+    grant.table = std::make_shared<const TableDelta>(TableDelta{Version(6), false, {}});
+    (void)step(host, ControlMessageEvent{grant}, start + 320ms);
+    cr_assert_eq(host.table, Version(0), "a part is not taken for the whole");
 }
 
 Test(crowd, the_group_goes_before_the_hosts)
