--- a/src/tests/system/soak.py
+++ b/src/tests/system/soak.py
@@ -18,7 +18,8 @@
 from run import Report
 from scenarios import (CONFIG, RATE, SERVICE, check_answers, check_targets, mixed)
 
-REGRESSIONS = {}  # Seed: cause.
+REGRESSIONS = {  # Seed: cause.
+    41: "an operator's call blocked the thread that ends pauses: a host stayed paused for 16 s"}
 MOST_PAUSE_S = 3.0
 GUEST_RATE = 20  # Requests a second, and as many at once; see default_folder().
 RECOVERY_S = 20
