Add: [Control] [Net] Log lines tell when an order is decided, leaves and is answered, in which term

The lines could not tell the hypotheses apart: orderSent was written when a leader decided an order, not when it left; nothing said when a new leader begins to order; no line named the term. So an order that left after its leader's lease looked like one in time.

Now orderDecided names the term and what is left of the lease, orderSent is written when the connection stands and the first byte comes next, orderAnswered is written by the thread that reads the answer, both with the time since the decision, and leadershipActive says in how many milliseconds a new leader may give its first order. Two leaders' lines at one target now show by themselves who ordered in which term and how late.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -170,13 +170,25 @@
     }
 }
 
+/** Takes over: everything that earlier leaders committed is applied. */
+void activate(Control &control, ControlEffects &effects, TimePoint now)
+{
+    Leadership &leadership = *control.leadership;
+    leadership.active = true;
+    leadership.planner.inherited = control.cluster.lastFencing;
+    const TimePoint from = leadership.since + leadership.planner.tuning.inheritedOrderWait;
+    effects.notes.push_back({"leadershipActive",
+                             {{"term", leadership.term},
+                              {"electedMsAgo", toMilliseconds(now - leadership.since)},
+                              {"ordersInMs", toMilliseconds(from - now)},
+                              {"inheritedFencing", leadership.planner.inherited}}});
+}
+
 void onLeaderTick(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
-    if (!leadership.active) {
-        leadership.active = true;
-        leadership.planner.inherited = control.cluster.lastFencing;
-    }
+    if (!leadership.active)
+        activate(control, effects, now);
     for (const TargetId &target : dropSilent(leadership.registry, now)) {
         leadership.slots.erase(target);
         effects.notes.push_back({"targetSilent", {{"target", target}}});
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -81,6 +81,8 @@
     std::string replica; ///< replicaId().
     std::string address;
     Order order;
+    Term term = 0; ///< Of the leader that gives it.
+    TimePoint decidedAt;
 };
 
 /** Asks a target for what it has accepted and does. */
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -87,8 +87,8 @@
     for (const OutstandingOrder &order : due.orders) {
         const TargetAnnouncement &target
             = leadership.registry.targets.at(order.target).announcement;
-        effects.orders.push_back(
-            {replicaId(order.target, order.order.variant), target.address, order.order});
+        effects.orders.push_back({replicaId(order.target, order.order.variant), target.address,
+                                  order.order, leadership.term, now});
     }
     for (const TargetId &id : due.inspections) {
         const TargetAnnouncement &target = leadership.registry.targets.at(id).announcement;
--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -53,6 +53,12 @@
     return std::chrono::duration<double>(d).count();
 }
 
+/** @return @p d in whole milliseconds, rounded towards zero; for log lines. */
+constexpr std::int64_t toMilliseconds(Duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 /** @return @p seconds as a duration, rounded towards zero. */
 constexpr Duration fromSeconds(double seconds)
 {
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -158,11 +158,6 @@
 
 void ControlDuty::handle(const ControlEvent &event)
 {
-    if (const auto *reply = std::get_if<OrderReplyEvent>(&event))
-        logDecision("orderAnswered",
-                    {{"replica", reply->replica},
-                     {"fencing", reply->fencing},
-                     {"reply", static_cast<int>(reply->reply)}});
     this->execute(step(this->control, event, MonotonicClock::now()));
 }
 
@@ -181,10 +176,12 @@
     for (const ControlNote &note : effects.notes)
         logDecision(note.event, note.fields);
     for (SendOrder &order : effects.orders) {
-        logDecision("orderSent",
+        logDecision("orderDecided",
                     {{"replica", order.replica},
                      {"action", order.order.action},
                      {"fencing", order.order.fencing},
+                     {"term", order.term},
+                     {"leaseMs", toMilliseconds(leaseEnd(this->control.replica) - order.decidedAt)},
                      {"accepted", order.order.precondition.value_or(0)}});
         const OrderReplyEvent unsent{order.replica, order.order.fencing, OrderReply::Refused};
         if (!this->orders.send(std::move(order)))
@@ -204,7 +201,8 @@
     const LogReplica &replica = this->control.replica;
     const bool leads = replica.role == ReplicaRole::Leader;
     if (leads != this->leading.exchange(leads))
-        logChange(leads ? "leadershipWon" : "leadershipEnded", {{"term", replica.hard.term}});
+        logChange(leads ? "leadershipWon" : "leadershipEnded",
+                  {{"term", replica.hard.term}, {"commit", replica.commit}});
 }
 
 void ControlDuty::sendToMember(const OutgoingMessage &message)
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -1,6 +1,7 @@
 /** @file target_client.cpp HTTP to targets on one libcurl multi loop. */
 #include "net/target_client_base.h"
 
+#include "core/log_func.h"
 #include "net/transfer_base.h"
 
 #include <absl/strings/str_cat.h>
@@ -52,6 +53,20 @@
     return size * count;
 }
 
+/** Notes when an order goes out: its connection stands, and its first byte comes next. */
+int noteSending(void *transfer, char *, char *, int, int)
+{
+    const auto *order = std::get_if<SendOrder>(&static_cast<OrderTransfer *>(transfer)->call);
+    if (order != nullptr)
+        logDecision("orderSent",
+                    {{"replica", order->replica},
+                     {"action", order->order.action},
+                     {"fencing", order->order.fencing},
+                     {"term", order->term},
+                     {"ageMs", toMilliseconds(MonotonicClock::now() - order->decidedAt)}});
+    return CURL_PREREQFUNC_OK;
+}
+
 /** @return What an answer to an order says; without one it may have been accepted. */
 OrderReply replyOf(CURLcode code, long status)
 {
@@ -196,6 +211,8 @@
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ORDER_TIMEOUT_MS);
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &noteSending);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
         if (!transfer->body.empty()) {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
@@ -252,6 +269,13 @@
             const bool unsent = code != CURLE_OK && sent == 0;
             const OrderReply reply = unsent ? OrderReply::Refused : replyOf(code, status);
             const bool done = code == CURLE_OK && status == HTTP_OK;
+            logDecision("orderAnswered",
+                        {{"replica", order.replica},
+                         {"fencing", order.order.fencing},
+                         {"term", order.term},
+                         {"reply", static_cast<int>(reply)},
+                         {"status", status},
+                         {"ageMs", toMilliseconds(MonotonicClock::now() - order.decidedAt)}});
             this->onControlEvent(OrderReplyEvent{order.replica, order.order.fencing, reply, done});
         }
         curl_multi_remove_handle(this->multi, transfer.easy);
