Fix: [Control] [Placement] A new leader waits until no order of an earlier one can still arrive

Cause: a leader's right to order ends with its lease, but an order acts when it arrives. A new leader began to order exactly 3 s after its election, the time that targets demand between the orders of two leaders. That left nothing for the way: from the decision to the target lie a queue, the set-up of a connection and packets that are sent again. After a handover not even the lease of the former leader had ended.

The price: after a change of leader placement stands still for 1.4 s longer.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -12,6 +12,7 @@
 constexpr int MAX_PORT = 65'535;
 constexpr int MAX_VOTERS = 9;
 constexpr std::int64_t MAX_BODY_BYTES = 1 << 30;
+constexpr std::int64_t MAX_ORDER_SEPARATION_MS = 600'000;
 
 bool isIpNumber(const std::string &text)
 {
@@ -120,6 +121,8 @@
     settings.prefetch = reader.boolean("prefetch", false);
     settings.rateLeeway = reader.number("rateLeeway", 0, 0, 1);
     settings.burstLeeway = reader.number("burstLeeway", 0, 0, 1e9);
+    settings.orderSeparation = std::chrono::milliseconds(
+        reader.integer("orderSeparationMs", 3'000, 0, MAX_ORDER_SEPARATION_MS));
     settings.retryShare = reader.number("retryShare", settings.retryShare, 0, 10);
     settings.retryBurst = reader.number("retryBurst", settings.retryBurst, 0, 1e6);
     settings.freshnessLease
--- a/src/config/settings_type.h
+++ b/src/config/settings_type.h
@@ -50,6 +50,7 @@
     std::size_t maxBodyBytes = 4 << 20;
     double rateLeeway = 0; ///< Tolerated excess over accounts' rates and bursts, as a share.
     double burstLeeway = 0; ///< Tolerated excess over accounts' bursts.
+    Duration orderSeparation = 3s; ///< Between orders of two leaders to one target.
     double retryShare = 0.2; ///< Retries of all hosts per request of a service.
     double retryBurst = 100; ///< Retries of all hosts beyond that.
     Duration freshnessLease = 2s; ///< Without contact, shared state counts this long.
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -633,13 +633,11 @@
 {
     if (replica.role != ReplicaRole::Leader || replica.transferring)
         return TimePoint::min();
-    constexpr Duration LEASE
-        = ELECTION_TIMEOUT_MIN - ELECTION_TIMEOUT_MIN * 2 * CLOCK_DRIFT_PERCENT / 100;
     // The latest time that a quorum has confirmed: try each confirmation, newest first.
     std::vector<TimePoint> times;
     for (const auto &[member, progress] : replica.progress)
         times.push_back(progress.acknowledged);
-    times.push_back(TimePoint::max() - LEASE);
+    times.push_back(TimePoint::max() - LEADER_LEASE);
     std::sort(times.rbegin(), times.rend());
     for (const TimePoint time : times) {
         const bool confirmed = hasQuorum(replica.membership, [&](const MemberId &member) {
@@ -648,7 +646,7 @@
                 || (it != replica.progress.end() && it->second.acknowledged >= time);
         });
         if (confirmed)
-            return time + LEASE;
+            return time + LEADER_LEASE;
     }
     return TimePoint::min();
 }
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -11,6 +11,8 @@
 constexpr Duration ELECTION_TIMEOUT_MIN
     = 400ms; ///< No vote for another within this of hearing a leader.
 constexpr Duration ELECTION_TIMEOUT_MAX = 500ms;
+constexpr Duration LEADER_LEASE = ELECTION_TIMEOUT_MIN
+    - ELECTION_TIMEOUT_MIN * 2 * CLOCK_DRIFT_PERCENT / 100; ///< From sending to a quorum.
 constexpr Duration HEARTBEAT_INTERVAL = 60ms;
 constexpr Duration SNAPSHOT_RESEND = 2s;
 constexpr std::size_t MAX_ENTRIES_PER_APPEND = 256;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -18,6 +18,18 @@
 constexpr Duration ADAPTER_LOAD = 40ms; ///< From an accepted order until the adapter serves.
 constexpr Duration LOST_HOST_INTERVAL = 500ms;
 
+/**
+ * An earlier leader's last order leaves within its lease, which may outlast a handover, and reaches
+ * the target within ORDER_ARRIVAL_LIMIT.
+ */
+TimePoint firstOrderAt(const Control &control, TimePoint now)
+{
+    if (control.replica.hard.term == 1)
+        return now; // Nobody led before.
+    return now + withDriftMargin(LEADER_LEASE + ORDER_ARRIVAL_LIMIT
+                                 + control.tuning.orderSeparation);
+}
+
 void becomeLeader(Control &control, TimePoint now)
 {
     Leadership leadership;
@@ -28,8 +40,7 @@
     leadership.registry.epoch = leadership.term;
     leadership.planner.since = now;
     leadership.planner.tuning = control.tuning;
-    if (leadership.term == 1)
-        leadership.planner.tuning.inheritedOrderWait = Duration::zero(); // Nobody led before.
+    leadership.planner.ordersFrom = firstOrderAt(control, now);
     leadership.planner.storeCreditAt = now;
     leadership.placementDue = now;
     leadership.expireDue = now + EXPIRE_INTERVAL;
@@ -176,11 +187,10 @@
     Leadership &leadership = *control.leadership;
     leadership.active = true;
     leadership.planner.inherited = control.cluster.lastFencing;
-    const TimePoint from = leadership.since + leadership.planner.tuning.inheritedOrderWait;
     effects.notes.push_back({"leadershipActive",
                              {{"term", leadership.term},
                               {"electedMsAgo", toMilliseconds(now - leadership.since)},
-                              {"ordersInMs", toMilliseconds(from - now)},
+                              {"ordersInMs", toMilliseconds(leadership.planner.ordersFrom - now)},
                               {"inheritedFencing", leadership.planner.inherited}}});
 }
 
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -75,6 +75,9 @@
     ControlMessage message;
 };
 
+/** Longest from the last moment at which an order may leave until its bytes are at the target. */
+constexpr Duration ORDER_ARRIVAL_LIMIT = 1s;
+
 /** An order to be sent to a target. */
 struct SendOrder
 {
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -62,6 +62,7 @@
     // Half of what is tolerated: the rest is for hosts that were cut off with budgets in hand.
     duty->control.leeway = {settings.rateLeeway / 2, settings.burstLeeway / 2};
     duty->control.tuning.prefetches = settings.prefetch;
+    duty->control.tuning.orderSeparation = settings.orderSeparation;
     ControlDuty *self = duty.get();
     BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
                           return self->takeFrame(std::move(frame));
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -20,7 +20,7 @@
     const auto refused = pass.planner.refusedUntil.find(target.announcement().id);
     if (refused != pass.planner.refusedUntil.end() && pass.now < refused->second)
         return false;
-    return target.fenced || pass.now - pass.planner.since >= pass.planner.tuning.inheritedOrderWait;
+    return target.fenced || pass.now >= pass.planner.ordersFrom;
 }
 
 /** @return Whether room on the target was made for another variant. */
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -136,8 +136,7 @@
         if (ordered || planner.repeats.contains(*id))
             continue;
         const bool fenced = isFenced(input, replica->target);
-        const Duration wait = fenced ? Duration::zero() : planner.tuning.inheritedOrderWait;
-        if (now - planner.since < wait)
+        if (!fenced && now < planner.ordersFrom)
             continue;
         if (replica->state == ReplicaState::Unloading && !drained(*replica))
             continue;
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -23,7 +23,7 @@
     Duration victimIdle = 2s; ///< Idle time before a replica may make room for another.
     Duration orderTimeout = 60s; ///< After that an order with unknown outcome is undone.
     Duration loadTimeout = 600s; ///< After that an accepted load is undone.
-    Duration inheritedOrderWait = 3s; ///< A new leader waits this for the old one's last order.
+    Duration orderSeparation = 3s; ///< Between orders of two leaders to a target without fencing.
     bool countsOrders = false; ///< Orders name how many the target has accepted before.
     bool ranksByDemand = false; ///< Most wanted first, in place of fewest loads and deadline.
     bool prefetches = false; ///< Spare loads bring models to targets that no target has at hand.
@@ -86,6 +86,7 @@
 {
     PlannerTuning tuning;
     TimePoint since; ///< Start of the leadership.
+    TimePoint ordersFrom; ///< Before that, targets without fencing get no order.
     FencingNumber inherited; ///< Highest number that an earlier leader may have used.
     std::map<Variant, VariantHistory> history;
     std::map<HostId, std::vector<VariantUse>> hostUses; ///< Latest report of each host.
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -177,6 +177,19 @@
     cr_assert_eq(repeat.orders[0].order.precondition.value(), 0, "only one of the two can pass");
 }
 
+// Guards against orders of a new leader in the time in which a target may still get an earlier
+// one's.
+Test(orders, no_order_goes_out_and_no_load_is_decided_before_the_planner_may_give_orders)
+{
+    Orders o;
+    o.planner.ordersFrom = o.now + 1s;
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    o.inspect(0);
+    cr_assert(o.due().orders.empty());
+    o.now += 1s;
+    cr_assert_eq(o.due().orders.size(), 1);
+}
+
 Test(orders, a_busy_target_is_asked_again_instead_of_losing_the_decision)
 {
     Orders o;
