Fix: [Net] [Control] An order whose leader has lost its lease does not leave any more

What callers saw: two leaders gave orders to one target within 3 s.

Cause: the right to order was checked when the order was decided, and never again. Behind that lie a queue, the start of the call and the set-up of a connection, in all up to two seconds and, on a paused or busy machine, without any bound; a deposed leader's order could leave at any later time. Bytes that a broken link held back went on to the target when it healed, after the call had long been given up.

Fix: an order carries the end of its leader's lease, as known when it was decided. It is checked when the call begins and once more when the connection stands and the first byte is next. An order that was held back goes out again under its number if the lease was renewed. The system stops sending its bytes again after 0.75 s, and closing the connection drops what is left, also when the process is killed: what is late never arrives. So the wait of the next leader covers all of the way.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -26,8 +26,8 @@
 {
     if (control.replica.hard.term == 1)
         return now; // Nobody led before.
-    return now + withDriftMargin(LEADER_LEASE + ORDER_ARRIVAL_LIMIT
-                                 + control.tuning.orderSeparation);
+    return now
+        + withDriftMargin(LEADER_LEASE + ORDER_ARRIVAL_LIMIT + control.tuning.orderSeparation);
 }
 
 void becomeLeader(Control &control, TimePoint now)
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -86,6 +86,7 @@
     Order order;
     Term term = 0; ///< Of the leader that gives it.
     TimePoint decidedAt;
+    TimePoint sendBy; ///< End of the leader's lease: from then on it must not leave.
 };
 
 /** Asks a target for what it has accepted and does. */
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -88,7 +88,7 @@
         const TargetAnnouncement &target
             = leadership.registry.targets.at(order.target).announcement;
         effects.orders.push_back({replicaId(order.target, order.order.variant), target.address,
-                                  order.order, leadership.term, now});
+                                  order.order, leadership.term, now, leaseEnd(control.replica)});
     }
     for (const TargetId &id : due.inspections) {
         const TargetAnnouncement &target = leadership.registry.targets.at(id).announcement;
--- a/src/daemon/control_duty.cpp
+++ b/src/daemon/control_duty.cpp
@@ -182,9 +182,9 @@
                      {"action", order.order.action},
                      {"fencing", order.order.fencing},
                      {"term", order.term},
-                     {"leaseMs", toMilliseconds(leaseEnd(this->control.replica) - order.decidedAt)},
+                     {"leaseMs", toMilliseconds(order.sendBy - order.decidedAt)},
                      {"accepted", order.order.precondition.value_or(0)}});
-        const OrderReplyEvent unsent{order.replica, order.order.fencing, OrderReply::Refused};
+        const OrderReplyEvent unsent{order.replica, order.order.fencing, OrderReply::Unsent};
         if (!this->orders.send(std::move(order)))
             this->post(unsent);
     }
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -5,7 +5,11 @@
 #include "net/transfer_base.h"
 
 #include <absl/strings/str_cat.h>
+#include <cerrno>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 namespace bilberry {
@@ -17,7 +21,10 @@
 constexpr Duration SILENCE_CHECK_INTERVAL = 20ms;
 constexpr long HTTP_OK = 200;
 constexpr long HTTP_CONFLICT = 409;
-constexpr long ORDER_TIMEOUT_MS = 2'000;
+constexpr long INSPECTION_TIMEOUT_MS = 2'000;
+constexpr Duration ORDER_ANSWER_LIMIT = 1s; ///< From the last moment to send until the answer.
+/** The system stops sending an order's bytes again; the rest is for the time until they leave. */
+constexpr Duration ORDER_UNACKNOWLEDGED_LIMIT = ORDER_ARRIVAL_LIMIT * 3 / 4;
 constexpr long MAX_POOLED_CONNECTIONS = 1'024;
 
 struct Cancel
@@ -45,6 +52,7 @@
     std::string answer;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
+    bool held = false; ///< The lease had ended when the connection stood.
 };
 
 std::size_t appendAnswer(char *data, std::size_t size, std::size_t count, void *out)
@@ -53,18 +61,43 @@
     return size * count;
 }
 
-/** Notes when an order goes out: its connection stands, and its first byte comes next. */
-int noteSending(void *transfer, char *, char *, int, int)
+/** Writes a line on what becomes of an order that was decided before @p now. */
+void logOrder(const char *event, const SendOrder &order, TimePoint now)
 {
-    const auto *order = std::get_if<SendOrder>(&static_cast<OrderTransfer *>(transfer)->call);
-    if (order != nullptr)
-        logDecision("orderSent",
-                    {{"replica", order->replica},
-                     {"action", order->order.action},
-                     {"fencing", order->order.fencing},
-                     {"term", order->term},
-                     {"ageMs", toMilliseconds(MonotonicClock::now() - order->decidedAt)}});
-    return CURL_PREREQFUNC_OK;
+    logDecision(event,
+                {{"replica", order.replica},
+                 {"action", order.order.action},
+                 {"fencing", order.order.fencing},
+                 {"term", order.term},
+                 {"ageMs", toMilliseconds(now - order.decidedAt)}});
+}
+
+/** The connection stands and the first byte comes next: only now it is known when that is. */
+int beforeSending(void *transfer, char *, char *, int, int)
+{
+    auto &held = static_cast<OrderTransfer *>(transfer)->held;
+    const SendOrder &order = std::get<SendOrder>(static_cast<OrderTransfer *>(transfer)->call);
+    const TimePoint now = MonotonicClock::now();
+    held = now >= order.sendBy;
+    logOrder(held ? "orderHeldBack" : "orderSent", order, now);
+    return held ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+/**
+ * What the target has not got in time it must never get: the system gives up soon, and closing the
+ * connection, by the end of the process too, drops what is left.
+ */
+int boundSocket(void *, curl_socket_t socket, curlsocktype)
+{
+    const linger drop{1, 0};
+    const auto unacknowledgedMs = static_cast<unsigned>(toMilliseconds(ORDER_UNACKNOWLEDGED_LIMIT));
+    const bool bounded = setsockopt(socket, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop)) == 0
+        && setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs,
+                      sizeof(unacknowledgedMs))
+            == 0;
+    if (!bounded)
+        logDecision("orderSocketUnbounded", {{"errno", errno}});
+    return bounded ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
 }
 
 /** @return What an answer to an order says; without one it may have been accepted. */
@@ -177,6 +210,13 @@
 
     void handle(const SendOrder &order)
     {
+        const TimePoint now = MonotonicClock::now();
+        if (now >= order.sendBy) {
+            logOrder("orderHeldBack", order, now);
+            this->onControlEvent(
+                OrderReplyEvent{order.replica, order.order.fencing, OrderReply::Unsent});
+            return;
+        }
         auto transfer = std::make_unique<OrderTransfer>();
         transfer->call = order;
         EncodedOrder encoded = this->edge.encodeOrder(order.order, this->holder);
@@ -184,7 +224,18 @@
         for (const auto &[name, value] : encoded.headers)
             transfer->headers
                 = curl_slist_append(transfer->headers, absl::StrCat(name, ": ", value).c_str());
-        this->begin(std::move(transfer), absl::StrCat("http://", order.address, encoded.path));
+        this->prepare(*transfer, absl::StrCat("http://", order.address, encoded.path));
+        const long toSendMs = static_cast<long>(toMilliseconds(order.sendBy - now)) + 1;
+        const long answerMs = static_cast<long>(toMilliseconds(ORDER_ANSWER_LIMIT));
+        CURL *easy = transfer->easy;
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, toSendMs);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toSendMs + answerMs);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &boundSocket);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeSending);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
+        this->begin(std::move(transfer));
     }
 
     void handle(const InspectTarget &item)
@@ -196,29 +247,29 @@
         }
         auto transfer = std::make_unique<OrderTransfer>();
         transfer->call = item;
-        this->begin(std::move(transfer), absl::StrCat("http://", item.address, path));
+        this->prepare(*transfer, absl::StrCat("http://", item.address, path));
+        curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS, INSPECTION_TIMEOUT_MS);
+        this->begin(std::move(transfer));
     }
 
-    void begin(std::unique_ptr<OrderTransfer> transfer, const std::string &url)
+    static void prepare(OrderTransfer &transfer, const std::string &url)
     {
         CURL *easy = curl_easy_init();
-        transfer->easy = easy;
+        transfer.easy = easy;
         curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         // An order is never sent twice by the library, so it never takes a used connection.
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ORDER_TIMEOUT_MS);
-        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
-        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &noteSending);
-        curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
-        if (!transfer->body.empty()) {
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
-        }
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendAnswer);
-        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->answer);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer.answer);
+    }
+
+    void begin(std::unique_ptr<OrderTransfer> transfer)
+    {
+        CURL *easy = transfer->easy;
         curl_multi_add_handle(this->multi, easy);
         this->orders[easy] = std::move(transfer);
     }
@@ -266,8 +317,10 @@
             this->onControlEvent(std::move(event));
         } else {
             const SendOrder &order = std::get<SendOrder>(transfer.call);
-            const bool unsent = code != CURLE_OK && sent == 0;
-            const OrderReply reply = unsent ? OrderReply::Refused : replyOf(code, status);
+            const bool unreached = code != CURLE_OK && sent == 0;
+            const OrderReply reply = transfer.held ? OrderReply::Unsent
+                : unreached                        ? OrderReply::Refused
+                                                   : replyOf(code, status);
             const bool done = code == CURLE_OK && status == HTTP_OK;
             logDecision("orderAnswered",
                         {{"replica", order.replica},
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -180,6 +180,11 @@
             planner.accepted[it->second.target].count = *it->second.order.precondition + 1;
         return {};
     }
+    if (reply == OrderReply::Unsent) {
+        // No byte of it left: the same number may still go out.
+        planner.orders.erase(it);
+        return {};
+    }
     if (counts && (reply == OrderReply::Unknown || reply == OrderReply::Busy)) {
         // The number of orders makes a repeat safe: only one of the two can be accepted.
         forgetCount(planner, it->second, now);
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -177,6 +177,20 @@
     cr_assert_eq(repeat.orders[0].order.precondition.value(), 0, "only one of the two can pass");
 }
 
+// Guards against a decision that is lost, or a target that is left alone, because an order was held
+// back at the end of its leader's lease.
+Test(orders, an_order_that_was_held_back_goes_out_under_its_number_once_the_lease_is_renewed)
+{
+    Orders o;
+    o.inspect(3);
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    o.answer(o.due().orders.at(0), OrderReply::Unsent);
+    const DueOrders again = o.due();
+    cr_assert_eq(again.orders.size(), 1);
+    cr_assert_eq(again.orders[0].order.fencing.value, 5);
+    cr_assert_eq(again.orders[0].order.precondition.value(), 3, "the target accepted nothing");
+}
+
 // Guards against orders of a new leader in the time in which a target may still get an earlier
 // one's.
 Test(orders, no_order_goes_out_and_no_load_is_decided_before_the_planner_may_give_orders)
--- /dev/null
+++ b/src/tests/target_client_test.cpp
@@ -0,0 +1,160 @@
+/** @file target_client_test.cpp Orders on the wire: they leave in their leader's time or never. */
+#include "net/own_edge_func.h"
+#include "net/target_client_base.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+constexpr Duration LEASE_LEFT = 300ms;
+constexpr Duration PATIENCE = 5s; ///< Longer than the system takes to open a connection again.
+
+/** A target's listening socket; it accepts only when told to. */
+class Listener
+{
+public:
+    Listener()
+        : socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        this->bound.sin_family = AF_INET;
+        this->bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(this->bound);
+        cr_assert_eq(bind(this->socket, this->asAddress(), size), 0);
+        cr_assert_eq(listen(this->socket, 0), 0);
+        getsockname(this->socket, this->asAddress(), &size);
+    }
+
+    ~Listener()
+    {
+        for (const int waiting : this->fillers)
+            close(waiting);
+        close(this->socket);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(ntohs(this->bound.sin_port));
+    }
+
+    /** Fills the queue of new connections: the next one's opening packet is dropped. */
+    void fill()
+    {
+        for (int i = 0; i < 2; ++i) {
+            const int filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            (void)connect(filler, this->asAddress(), sizeof(this->bound));
+            this->fillers.push_back(filler);
+        }
+        absl::SleepFor(absl::Milliseconds(50));
+    }
+
+    /** @return All bytes of the connections that come within @p patience. */
+    std::string receive(Duration patience)
+    {
+        const TimePoint end = MonotonicClock::now() + patience;
+        std::string got;
+        std::vector<pollfd> sockets{{this->socket, POLLIN, 0}};
+        while (MonotonicClock::now() < end) {
+            poll(sockets.data(), sockets.size(), 10);
+            if ((sockets[0].revents & POLLIN) != 0)
+                sockets.push_back({accept(this->socket, nullptr, nullptr), POLLIN, 0});
+            for (std::size_t i = 1; i < sockets.size(); ++i) {
+                char buffer[4096];
+                const ssize_t size = recv(sockets[i].fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+                got.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+                if (size == 0)
+                    sockets[i].events = 0;
+            }
+        }
+        for (std::size_t i = 1; i < sockets.size(); ++i)
+            close(sockets[i].fd);
+        return got;
+    }
+
+private:
+    sockaddr *asAddress() { return reinterpret_cast<sockaddr *>(&this->bound); }
+
+    int socket;
+    sockaddr_in bound{};
+    std::vector<int> fillers;
+};
+
+/** A client whose replies to orders are kept. */
+struct OrderSender
+{
+    OrderSender()
+        : client(
+            std::make_shared<ExchangeTable>(), ownEdge(), "leader", [](AttemptEnded &&) {},
+            [this](ControlEvent &&event) {
+                absl::MutexLock lock(&this->mutex);
+                this->reply = std::get<OrderReplyEvent>(event).reply;
+            })
+    {
+    }
+
+    void send(const Listener &target, TimePoint sendBy)
+    {
+        SendOrder order;
+        order.replica = "t/m:";
+        order.address = target.address();
+        order.order.variant.model = ModelId("m");
+        order.sendBy = sendBy;
+        cr_assert(this->client.sendOrder(order));
+    }
+
+    std::optional<OrderReply> waitReply(Duration patience)
+    {
+        absl::MutexLock lock(&this->mutex);
+        const auto replied = [this]() { return this->reply.has_value(); };
+        this->mutex.AwaitWithTimeout(absl::Condition(&replied),
+                                     absl::Microseconds(patience.count()));
+        return this->reply;
+    }
+
+    absl::Mutex mutex;
+    std::optional<OrderReply> reply;
+    TargetClient client;
+};
+
+} // namespace
+
+// Guards against an order that waited in the sender's queue until its leader's lease had ended.
+Test(target_client, an_order_whose_leader_has_lost_its_lease_does_not_leave)
+{
+    Listener target;
+    OrderSender sender;
+    sender.send(target, MonotonicClock::now() - 1ms);
+    cr_assert_eq(sender.waitReply(PATIENCE), OrderReply::Unsent);
+    cr_assert_eq(target.receive(500ms), "");
+}
+
+// Guards against an order whose connection came about only after its leader's lease had ended.
+Test(target_client, an_order_does_not_leave_on_a_connection_that_stands_too_late)
+{
+    Listener target;
+    target.fill();
+    OrderSender sender;
+    sender.send(target, MonotonicClock::now() + LEASE_LEFT);
+    absl::SleepFor(absl::Microseconds((2 * LEASE_LEFT).count()));
+    const std::string got = target.receive(3s);
+    cr_assert_eq(got.find("POST"), std::string::npos, "it got: %s", got.c_str());
+    cr_assert_eq(sender.waitReply(PATIENCE), OrderReply::Refused);
+}
+
+// Guards against bounds so narrow that orders in time are held back.
+Test(target_client, an_order_in_its_leaders_time_leaves_at_once)
+{
+    Listener target;
+    OrderSender sender;
+    sender.send(target, MonotonicClock::now() + LEASE_LEFT);
+    const std::string got = target.receive(200ms);
+    cr_assert_neq(got.find("POST"), std::string::npos);
+}
