--- a/src/tests/control_group.h
+++ b/src/tests/control_group.h
@@ -13,6 +13,7 @@
 
 constexpr Duration GROUP_STEP = 5ms;
 constexpr int GROUP_VOTERS = 5;
+constexpr int GROUP_FOUNDERS = 3;
 
 /** One daemon with a control member; its disk survives its process. */
 struct GroupDaemon
@@ -37,22 +38,23 @@
 /** Control members joined by messages that take one step; every write is synced at once. */
 struct ControlGroup
 {
-    ControlGroup()
+    explicit ControlGroup(int founderCount = GROUP_FOUNDERS, int votersWanted = GROUP_VOTERS)
+        : votersWanted(votersWanted)
     {
         for (int i = 0; i < GROUP_VOTERS; ++i)
             this->daemons.push_back({"a" + std::to_string(i), {}, {}, {}});
         Membership founders;
-        for (int i = 0; i < 3; ++i) {
+        for (int i = 0; i < founderCount; ++i) {
             const MemberId member("founder" + std::to_string(i));
             founders.voters.insert(member);
             founders.addresses[member] = this->daemons[static_cast<std::size_t>(i)].address;
         }
-        for (int i = 0; i < 3; ++i) {
+        for (int i = 0; i < founderCount; ++i) {
             GroupDaemon &daemon = this->daemons[static_cast<std::size_t>(i)];
             daemon.member = MemberId("founder" + std::to_string(i));
             daemon.disk.base.membership = founders;
         }
-        for (int i = 3; i < GROUP_VOTERS; ++i)
+        for (int i = founderCount; i < GROUP_VOTERS; ++i)
             this->daemons[static_cast<std::size_t>(i)].member = this->freshId();
         for (GroupDaemon &daemon : this->daemons)
             this->start(daemon);
@@ -65,7 +67,7 @@
         daemon.up = true;
         ++daemon.run;
         daemon.control = makeControl(daemon.member, daemon.disk, ++this->ids, this->now).value();
-        daemon.control->votersWanted = GROUP_VOTERS;
+        daemon.control->votersWanted = this->votersWanted;
     }
 
     void kill(GroupDaemon &daemon)
@@ -155,6 +157,7 @@
     void reportAll()
     {
         GroupDaemon *to = this->leader();
+        bool first = true;
         for (GroupDaemon &daemon : this->daemons) {
             if (!daemon.up || daemon.cut || to == nullptr)
                 continue;
@@ -162,8 +165,11 @@
             report.holder = {HostId(daemon.address), daemon.run};
             report.sentAt = this->now;
             report.member = ControlCandidate{daemon.member.value, daemon.address};
-            report.targets = this->targets;
-            report.variants = this->uses;
+            if (first) {
+                report.targets = this->targets;
+                report.variants = this->uses;
+            }
+            first = false;
             this->feed(*to, HostMessageEvent{report});
         }
     }
@@ -202,9 +208,10 @@
     std::set<MemberId> voters() { return this->leader()->control->replica.membership.voters; }
     std::uint64_t number() { return this->leader()->control->cluster.number.value; }
 
+    const int votersWanted;
     std::vector<GroupDaemon> daemons;
-    std::vector<TargetAnnouncement> targets; ///< Reported by every daemon's host.
-    std::vector<VariantUse> uses; ///< Reported by every daemon's host.
+    std::vector<TargetAnnouncement> targets; ///< Reported by the host of the first daemon in touch.
+    std::vector<VariantUse> uses; ///< Reported by the host of the first daemon in touch.
     std::vector<GivenOrder> orders; ///< All that were decided, in order.
     std::function<void(GroupDaemon &, const InspectTarget &)> onInspection; ///< Null: no answer.
     std::queue<std::pair<MemberId, OutgoingMessage>> mail;
