Fix: [Control] An order of a lone voter leaves within a lease too

The lease of a leader that is the only voter has no end, so its orders carried TimePoint::max() as the last moment to leave, and with that no limit for their answer: the client sets both of libcurl's limits from it. Others may vote by the time such an order leaves.

Now no order may leave later than LEADER_LEASE after its decision, which is the longest that any other lease lasts, and what the successor's wait counts on.

--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -4,6 +4,8 @@
 
 #include "state/view_func.h"
 
+#include <algorithm>
+
 namespace bilberry {
 
 namespace {
@@ -84,11 +86,13 @@
         return isDrained(leadership, replicaId(replica.target, replica.variant), now);
     };
     const DueOrders due = dueOrders(leadership.planner, input, drained, now);
+    // The lease of a lone voter has no end, but others may vote before its order leaves.
+    const TimePoint sendBy = std::min(leaseEnd(control.replica), now + LEADER_LEASE);
     for (const OutstandingOrder &order : due.orders) {
         const TargetAnnouncement &target
             = leadership.registry.targets.at(order.target).announcement;
         effects.orders.push_back({replicaId(order.target, order.order.variant), target.address,
-                                  order.order, leadership.term, now, leaseEnd(control.replica)});
+                                  order.order, leadership.term, now, sendBy});
     }
     for (const TargetId &id : due.inspections) {
         const TargetAnnouncement &target = leadership.registry.targets.at(id).announcement;
--- a/src/tests/order_handover_test.cpp
+++ b/src/tests/order_handover_test.cpp
@@ -18,7 +18,8 @@
 /** A group whose leader has decided to load a model and has yet to hear the target's count. */
 struct Handover : ControlGroup
 {
-    Handover()
+    explicit Handover(int founderCount = GROUP_FOUNDERS, int votersWanted = GROUP_VOTERS)
+        : ControlGroup(founderCount, votersWanted)
     {
         for (GroupDaemon &daemon : this->daemons)
             daemon.control->tuning = makeSwapTuning();
@@ -108,3 +109,15 @@
     group.runFor(10s);
     group.checkSeparation();
 }
+
+// Guards against an order without any limit, which a leader gives whose lease needs nobody else's
+// word: it could leave when others have joined and elected a successor long since.
+Test(order_handover, an_order_of_a_lone_voter_is_bounded_in_time_too)
+{
+    Handover group(1, 1);
+    group.answer(*group.leader());
+    cr_assert_eq(group.orders.size(), 1);
+    const GivenOrder &given = group.orders.front();
+    cr_assert_leq((given.order.sendBy - given.at).count(), LEADER_LEASE.count(), "%.0f s",
+                  toSeconds(given.order.sendBy - given.at));
+}
