Fix: [Host] [Net] An attempt leaves in its time or never, and hands over what is left of it then

What targets saw: requests that a host had decided to send while it was fresh, but whose connection stood only later. The freshness lease (2 s: zones, targets, keys), the caller's deadline and the time left were checked when the attempt was decided; ring and connection (up to 2 s) came after that. A zone's evacuation, a target that leaves and a deadline could so be overtaken, and the target was handed the time that the connection had taken, too.

Now an attempt carries its deadline and until when it may leave: the end of the freshness lease, the deadline, or 1.5 s after the decision, whichever is first. With the lease alone it could leave 2 s after its host got to know that a target leaves, which is when nothing may reach it any more; a connection whose opening packet is lost stands after 1 s or after 3 s, so the 2 s that it had before brought no more. It is checked when the attempt comes out of the ring and, by libcurl's callback, once the connection stands, new or used. The headers are made there. By the code, not by a run: where libcurl sends again by itself on a used connection it asks the callback again, and an attempt that is held back then ends as Lost, since bytes had left.

--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -122,6 +122,8 @@
     start.target = request.target;
     start.address = target.announcement.address;
     start.remaining = request.deadline - now;
+    start.deadline = request.deadline;
+    start.sendBy = latestDeparture(host, request, now);
     start.firstByteLimit = std::min<Duration>(start.remaining, 5s);
     start.interByteLimit = 5s;
     start.freshConnection = true;
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -23,6 +23,8 @@
 constexpr int SILENCE_FACTOR
     = 8; ///< Of the learnt service time, before an answer counts as stalled.
 constexpr Duration FIRST_BYTE_LIMIT_LEAST = 1s;
+/** Longest from a decision until the attempt leaves; targets that leave get nothing after 2 s. */
+constexpr Duration DEPARTURE_LIMIT = 1500ms;
 
 bool servesPresentVersion(const Host &host, const KnownTarget &target, const WorkGroup &group)
 {
@@ -216,6 +218,8 @@
     start.target = targetId;
     start.address = target.announcement.address;
     start.remaining = request.deadline - now;
+    start.deadline = request.deadline;
+    start.sendBy = latestDeparture(host, request, now);
     start.firstByteLimit = firstByteLimit(host, request);
     start.interByteLimit
         = request.asked.byRoute ? request.deadline - request.arrived : INTER_BYTE_LIMIT;
@@ -231,6 +235,11 @@
 
 } // namespace
 
+TimePoint latestDeparture(const Host &host, const Request &request, TimePoint now)
+{
+    return std::min({host.freshUntil, request.deadline, now + DEPARTURE_LIMIT});
+}
+
 std::vector<TargetId> openTargets(const Host &host, const WorkGroup &group, TimePoint now)
 {
     std::vector<TargetId> open;
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -62,6 +62,9 @@
 void reportIfDue(Host &host, HostEffects &effects, TimePoint now);
 bool isFresh(const Host &host, TimePoint now);
 
+/** @return Until when an attempt that is decided now may leave. */
+TimePoint latestDeparture(const Host &host, const Request &request, TimePoint now);
+
 double weightOf(const Host &host, const AccountId &account);
 
 } // namespace bilberry
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -191,6 +191,8 @@
     TargetId target;
     std::string address;
     Duration remaining{}; ///< Until the deadline.
+    TimePoint deadline;
+    TimePoint sendBy; ///< From then on it must not leave: what it was decided by counts no more.
     Duration firstByteLimit{};
     Duration interByteLimit{};
     bool freshConnection = false; ///< Needs a new connection or one proven alive just now.
@@ -201,9 +203,9 @@
     bool holdFailures = false; ///< Server errors are kept back.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
-                                                remaining, firstByteLimit, interByteLimit,
-                                                freshConnection, keepAnswer, correlation,
-                                                resumeAfter, account, holdFailures)
+                                                remaining, deadline, sendBy, firstByteLimit,
+                                                interByteLimit, freshConnection, keepAnswer,
+                                                correlation, resumeAfter, account, holdFailures)
 
 struct CancelAttempt
 {
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -172,14 +172,17 @@
     void handle(const StartAttempt &attempt)
     {
         std::shared_ptr<Exchange> exchange = this->exchanges->find(attempt.request);
-        if (!exchange) {
+        const TimePoint now = MonotonicClock::now();
+        const bool late = now >= attempt.sendBy;
+        if (late)
+            logHeldBack(attempt, now);
+        if (!exchange || late) {
             AttemptEnded ended;
             ended.attempt = attempt.attempt;
             ended.result = AttemptResult::NotSent;
             this->onAttemptEnded(std::move(ended));
             return;
         }
-        const TimePoint now = MonotonicClock::now();
         auto transfer = std::make_unique<Transfer>(attempt, std::move(exchange), this->edge, now);
         const AttemptId id = attempt.attempt;
         transfer->onRoom = [this, id]() { this->ring.push(Unpause{id}); };
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -1,6 +1,8 @@
 /** @file transfer.cpp One HTTP exchange with a target. */
 #include "net/transfer_base.h"
 
+#include "core/log_func.h"
+
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -12,8 +14,6 @@
 constexpr std::size_t MAX_PLAIN_ANSWER_BYTES = 64 << 20;
 constexpr const char *EVENT_END = "\n\n";
 constexpr int SERVER_ERROR = 500; ///< Least such status.
-constexpr long CONNECT_TIMEOUT_MS = 2'000;
-
 curl_slist *addHeader(curl_slist *list, const std::string &name, const std::string &value)
 {
     // The library takes a header without a value for a request to leave it out.
@@ -36,6 +36,15 @@
 
 } // namespace
 
+void logHeldBack(const StartAttempt &attempt, TimePoint now)
+{
+    logDecision("attemptHeldBack",
+                {{"attempt", attempt.attempt},
+                 {"request", attempt.request},
+                 {"target", attempt.target},
+                 {"lateMs", toMilliseconds(now - attempt.sendBy)}});
+}
+
 Transfer::Transfer(const StartAttempt &attempt, std::shared_ptr<Exchange> exchange,
                    const Edge &edge, TimePoint now)
     : attempt(attempt)
@@ -47,7 +56,6 @@
     , events(attempt.resumeAfter)
 {
     const ForwardedRequest &forwarded = this->exchange->forwarded;
-    this->requestHeaders = makeHeaders(edge.attemptHeaders(forwarded, attempt));
     const std::string url = absl::StrCat("http://", attempt.address, "/");
     curl_easy_setopt(this->easy, CURLOPT_URL, url.c_str());
     // The target gets the caller's bytes, not a normalized path.
@@ -55,8 +63,10 @@
     curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(this->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, this->requestHeaders);
-    curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(toMilliseconds(attempt.sendBy - now)) + 1);
+    curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, &Transfer::beforeSending);
+    curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
     this->setBody();
     curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, forwarded.method.c_str());
     curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
@@ -72,6 +82,23 @@
     }
 }
 
+int Transfer::beforeSending(void *self, char *, char *, int, int)
+{
+    auto &transfer = *static_cast<Transfer *>(self);
+    const TimePoint now = MonotonicClock::now();
+    if (now >= transfer.attempt.sendBy) {
+        logHeldBack(transfer.attempt, now);
+        return CURL_PREREQFUNC_ABORT;
+    }
+    StartAttempt leaving = transfer.attempt;
+    leaving.remaining = leaving.deadline - now;
+    curl_slist_free_all(transfer.requestHeaders);
+    transfer.requestHeaders
+        = makeHeaders(transfer.edge.attemptHeaders(transfer.exchange->forwarded, leaving));
+    curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, transfer.requestHeaders);
+    return CURL_PREREQFUNC_OK;
+}
+
 /** The body is read by a callback that can't go back, so that the library never sends it twice. */
 void Transfer::setBody()
 {
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -11,6 +11,9 @@
 
 namespace bilberry {
 
+/** Writes a line on an attempt that must not leave any more. */
+void logHeldBack(const StartAttempt &attempt, TimePoint now);
+
 /** Tells when a target has gone silent, and reads its answer into the caller's exchange. */
 class Transfer
 {
@@ -42,6 +45,8 @@
 private:
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
+    /** Holds the attempt back if it is too late for it; else hands over the time that is left. */
+    static int beforeSending(void *self, char *, char *, int, int);
     void takeHeader(std::string line);
     bool relay(std::string_view bytes);
     /** Reads the head once its last header has come. */
--- a/src/tests/shared_limits_test.cpp
+++ b/src/tests/shared_limits_test.cpp
@@ -259,6 +259,65 @@
     cr_assert(loop.answers.at({1, late}).refusal.code == RefusalCode::KeyUnknown);
 }
 
+// Guards against attempts that leave when what their host knows and holds counts no more, or later
+// than a target that leaves is to be left alone.
+Test(freshness, an_attempt_may_leave_only_in_its_hosts_and_its_callers_time)
+{
+    DecisionLoop loop(1, serviceFolder({makeAccount("a", 1'000, 1'000)}), 1);
+    LoopTarget target = makeService("t", "z0", 8, 5ms);
+    int attempts = 0;
+    target.answer = [&](const StartAttempt &attempt) {
+        const Host &host = loop.hosts[0].host;
+        const TimePoint deadline = host.requests.at(host.attempts.at(attempt.attempt)).deadline;
+        cr_assert_gt((attempt.sendBy - loop.now()).count(), 0);
+        cr_assert_leq((attempt.sendBy - host.freshUntil).count(), 0);
+        cr_assert_leq((attempt.sendBy - deadline).count(), 0);
+        cr_assert_lt((attempt.sendBy - loop.now()).count(), Duration(2s).count());
+        cr_assert_eq((attempt.deadline - deadline).count(), 0);
+        ++attempts;
+        AttemptEnded ended;
+        ended.attempt = attempt.attempt;
+        ended.result = AttemptResult::Answered;
+        ended.status = 200;
+        return ended;
+    };
+    loop.addTarget(target);
+    loop.runUntil(TimePoint(6s));
+    for (int i = 0; i < 400; ++i)
+        loop.send(0, callOf("a"), loop.now() + Duration(i * 10'000));
+    loop.runUntil(loop.now() + 1s);
+    loop.hosts[0].cut = true;
+    const int before = attempts;
+    loop.runUntil(loop.now() + 6s);
+    cr_assert_gt(before, 0);
+    cr_assert_gt(attempts, before, "it sends while its lease lasts");
+}
+
+// Guards against a refusal as run, or a lost request, where no attempt was let go.
+Test(freshness, a_request_whose_attempts_are_held_back_goes_elsewhere_or_is_refused_as_not_run)
+{
+    DecisionLoop loop(1, serviceFolder({makeAccount("a", 1'000, 1'000)}), 1);
+    const auto holdBack = [](const StartAttempt &attempt) {
+        AttemptEnded ended;
+        ended.attempt = attempt.attempt;
+        ended.result = AttemptResult::NotSent;
+        return ended;
+    };
+    for (const char *id : {"t0", "t1"})
+        loop.addTarget(makeService(id, "z0", 8, 5ms));
+    loop.targets.at(TargetId("t0")).answer = holdBack;
+    loop.runUntil(TimePoint(6s));
+    const RequestId moved = loop.send(0, callOf("a"), loop.now());
+    loop.runUntil(loop.now() + 3s);
+    cr_assert((loop.answers.at({0, moved}).answered));
+    loop.targets.at(TargetId("t1")).answer = holdBack;
+    const RequestId held = loop.send(0, callOf("a"), loop.now());
+    loop.runUntil(loop.now() + 30s);
+    const LoopAnswer &answer = loop.answers.at({0, held});
+    cr_assert(!answer.answered);
+    cr_assert(answer.refusal.execution == Execution::NotRun);
+}
+
 Test(zones, nothing_new_goes_to_a_zone_once_its_exit_is_in_force)
 {
     DecisionLoop loop(4, serviceFolder({makeAccount("a", 10'000, 10'000)}), 1);
