Fix: [Net] [Placement] A lost first packet costs an order one more try, not the target five seconds

What callers saw: nothing yet; found in review. Since an order's connection must stand within its leader's lease, a first packet that is lost (sent again after 1 s) ended as refused by the target: the load was dropped and the target left alone for 5 s.

Now such an order counts as not sent and goes out again under its number, on a new connection. After three in a row the target is taken for unreachable, as before (a_load_goes_elsewhere_when_its_order_could_not_be_sent_three_times).

The system sends an order's bytes again for 0.5 s in place of 0.75 s, since it counts from the first time that it does so.

--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -24,7 +24,7 @@
 constexpr long INSPECTION_TIMEOUT_MS = 2'000;
 constexpr Duration ORDER_ANSWER_LIMIT = 1s; ///< From the last moment to send until the answer.
 /** The system stops sending an order's bytes again; the rest is for the time until they leave. */
-constexpr Duration ORDER_UNACKNOWLEDGED_LIMIT = ORDER_ARRIVAL_LIMIT * 3 / 4;
+constexpr Duration ORDER_UNACKNOWLEDGED_LIMIT = ORDER_ARRIVAL_LIMIT / 2;
 constexpr long MAX_POOLED_CONNECTIONS = 1'024;
 
 struct Cancel
@@ -321,9 +321,10 @@
         } else {
             const SendOrder &order = std::get<SendOrder>(transfer.call);
             const bool unreached = code != CURLE_OK && sent == 0;
-            const OrderReply reply = transfer.held ? OrderReply::Unsent
-                : unreached                        ? OrderReply::Refused
-                                                   : replyOf(code, status);
+            const bool late = transfer.held || (unreached && code == CURLE_OPERATION_TIMEDOUT);
+            const OrderReply reply = late ? OrderReply::Unsent
+                : unreached               ? OrderReply::Refused
+                                          : replyOf(code, status);
             const bool done = code == CURLE_OK && status == HTTP_OK;
             logDecision("orderAnswered",
                         {{"replica", order.replica},
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration FAILED_TARGET_PAUSE = 5s;
 constexpr Duration FAILED_VARIANT_PAUSE = 1s;
+constexpr int MOST_UNSENT = 3; ///< In a row; then the target is taken for unreachable.
 
 constexpr Duration REPORT_LAG = 700ms; ///< A target's word on itself is older than its answer.
 constexpr Duration INSPECTION_PAUSE = 500ms;
@@ -180,8 +181,10 @@
             planner.accepted[it->second.target].count = *it->second.order.precondition + 1;
         return {};
     }
-    if (reply == OrderReply::Unsent) {
-        // No byte of it left: the same number may still go out.
+    AcceptedOrders &accepted = acceptedBy(planner, it->second.target, it->second.order.start);
+    accepted.unsent = reply == OrderReply::Unsent ? accepted.unsent + 1 : 0;
+    if (reply == OrderReply::Unsent && accepted.unsent < MOST_UNSENT) {
+        // The same number may still go out.
         planner.orders.erase(it);
         return {};
     }
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -79,6 +79,7 @@
     FencingNumber sent; ///< Highest number that has gone out.
     TimePoint uncertainSince; ///< When an order may have been on its way last.
     TimePoint askedAt; ///< When the target was asked last.
+    int unsent = 0; ///< Orders in a row that could not be sent in time.
 };
 
 /** Soft state of the planner; a new leader starts with an empty one. */
--- a/src/placement/planner_func.h
+++ b/src/placement/planner_func.h
@@ -53,7 +53,7 @@
     Refused, ///< By the target's own word it was not carried out.
     Busy, ///< The same, because of another order.
     Unknown,
-    Unsent, ///< It was held back, since the leader's lease had ended.
+    Unsent, ///< No byte of it left before the end of the leader's lease.
 };
 
 /** Notes the reply to an order. @return Replica ids that are known not to be loaded now. */
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -191,6 +191,23 @@
     cr_assert_eq(again.orders[0].order.precondition.value(), 3, "the target accepted nothing");
 }
 
+// Guards against a load that waits for good for a target to which no connection can be made.
+Test(orders, a_load_goes_elsewhere_when_its_order_could_not_be_sent_three_times_in_a_row)
+{
+    Orders o;
+    o.inspect(0);
+    o.commit(makeReplica("a", 5, ReplicaState::Loading));
+    const auto unsent = [&]() {
+        const OutstandingOrder order = o.due().orders.at(0);
+        return noteOrderReply(o.planner, replicaId(TARGET, order.order.variant),
+                              order.order.fencing, OrderReply::Unsent, o.now);
+    };
+    cr_assert(unsent().empty());
+    cr_assert(unsent().empty());
+    cr_assert_eq(unsent(), std::vector<std::string>{"t/a:"});
+    cr_assert_gt(o.planner.refusedUntil.at(TARGET), o.now);
+}
+
 // Guards against orders of a new leader in the time in which a target may still get an earlier
 // one's.
 Test(orders, no_order_goes_out_and_no_load_is_decided_before_the_planner_may_give_orders)
