Fix: [Net] Bytes of a target that never end are bounded, and are never an answer

What callers saw: behind a target in trouble that sends bytes without end, in a head or a body, a request waited until its time was over, and the process held all of an event, of trailer lines or of an order's answer. What the HTTP library itself refused counted as a crash of the target and made its requests suspects.

Cause: only a plain body was counted (64 MiB); an attempt ended by silence, and bytes without end are not silent.

Fix: bounds for the head with interim answers and trailer (64 KiB), a plain answer (8 MiB), an event (256 KiB), all events of an attempt (32 MiB) and an order's answer (1 MiB); and an attempt ends at its request's deadline whatever comes. Such an end is NoAnswer, which may have run, with the bound in the log and in answers_without_end_total. On the own interface what follows the end marker of a stream is dropped, and the marker must begin a line.

Open: the library shows no byte of a chunk extension, so one without end is ended by the request's time only; there is no bound over all plain answers of a process together; the bounds of bilberryctl and bilberryload have no test.

--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -10,11 +10,15 @@
 
 constexpr long TIMEOUT_MS = 10'000;
 constexpr long CONNECT_TIMEOUT_MS = 1'000;
+constexpr std::size_t MAX_ANSWER_BYTES = 256 << 20; ///< Of a daemon, whose dump may be long.
 constexpr Duration RETRY_PAUSE = 100ms;
 
 std::size_t append(char *data, std::size_t size, std::size_t count, void *out)
 {
-    static_cast<std::string *>(out)->append(data, size * count);
+    auto &answer = *static_cast<std::string *>(out);
+    if (answer.size() + size * count > MAX_ANSWER_BYTES)
+        return 0; // Ends the exchange.
+    answer.append(data, size * count);
     return size * count;
 }
 
--- a/src/daemon/host_duty.cpp
+++ b/src/daemon/host_duty.cpp
@@ -61,6 +61,8 @@
         appendCounter(out, "refusals_total", "type", type, count);
     for (const auto &[result, count] : counters.attempts)
         appendCounter(out, "attempts_total", "result", result, count);
+    for (const auto &[bound, count] : counters.bounds)
+        appendCounter(out, "answers_without_end_total", "bound", bound, count);
     appendHistogram(out, "wait_seconds", counters.waits);
     appendHistogram(out, "answer_seconds", counters.answers);
     appendHistogram(out, "refusal_seconds", counters.refusalTimes);
@@ -276,10 +278,12 @@
                               {"registry", this->host.registry},
                               {"freshMs", (this->host.freshUntil - now).count() / 1000}};
     };
-    if (const auto *ended = std::get_if<AttemptEnded>(&event); ended && ended->status != 200)
+    if (const auto *ended = std::get_if<AttemptEnded>(&event);
+        ended && (ended->status != 200 || ended->bound != AnswerBound::None))
         logDecision("attemptEnded",
                     {{"attempt", ended->attempt},
                      {"result", ended->result},
+                     {"bound", ended->bound},
                      {"status", ended->status},
                      {"events", ended->eventsRelayed}});
     for (const HostEffect &effect : effects) {
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -76,6 +76,7 @@
     case AttemptResult::NotSent:
     case AttemptResult::Failed:
     case AttemptResult::Mismatched:
+    case AttemptResult::NoAnswer:
         noteOutcome(target.health, false, now);
         target.failed += ended.result == AttemptResult::NotSent ? 0 : 1;
         return;
@@ -175,6 +176,8 @@
 void onAttemptEnded(Host &host, const AttemptEnded &ended, HostEffects &effects, TimePoint now)
 {
     ++host.counters.attempts[nlohmann::json(ended.result).get<std::string>()];
+    if (ended.bound != AnswerBound::None)
+        ++host.counters.bounds[nlohmann::json(ended.bound).get<std::string>()];
     const auto attempt = host.attempts.find(ended.attempt);
     if (attempt == host.attempts.end()) {
         // Given up earlier; whatever it brought is discarded, but its slot is free only now.
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -178,13 +178,15 @@
     std::uint64_t callerGone = 0;
     std::map<std::string, std::uint64_t> refusals; ///< By type.
     std::map<std::string, std::uint64_t> attempts; ///< By result.
+    std::map<std::string, std::uint64_t> bounds; ///< Passed by answers, by name.
     LatencyHistogram waits; ///< From the arrival of a request to its first attempt.
     LatencyHistogram answers; ///< From the arrival to the end of an answer.
     LatencyHistogram refusalTimes; ///< From the arrival to a refusal.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostCounters, requests, answered, retries, resumed,
                                                 reports, callsReplayed, callsJoined, callerGone,
-                                                refusals, attempts, waits, answers, refusalTimes)
+                                                refusals, attempts, bounds, waits, answers,
+                                                refusalTimes)
 
 /** Everything that one host decides from. */
 struct Host
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -56,6 +56,7 @@
     Lost, ///< The connection broke after the first byte was sent.
     Stalled, ///< Silent for too long.
     Mismatched, ///< The answer was another request's.
+    NoAnswer, ///< Bytes that are no answer, or more than one may have; it may have run.
     Cancelled,
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(AttemptResult,
@@ -66,20 +67,41 @@
                               {AttemptResult::Lost, "lost"},
                               {AttemptResult::Stalled, "stalled"},
                               {AttemptResult::Mismatched, "mismatched"},
+                              {AttemptResult::NoAnswer, "noAnswer"},
                               {AttemptResult::Cancelled, "cancelled"}})
 
+/** What an answer without end has passed. */
+enum class AnswerBound {
+    None,
+    Form, ///< The library finds no answer in it, or a line is too long.
+    Head, ///< Header lines, interim answers, trailer.
+    Plain, ///< An answer's body.
+    Event, ///< One event of a stream.
+    Stream, ///< All events together.
+    Time, ///< The request's own.
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(AnswerBound,
+                             {{AnswerBound::None, ""},
+                              {AnswerBound::Form, "form"},
+                              {AnswerBound::Head, "head"},
+                              {AnswerBound::Plain, "plain"},
+                              {AnswerBound::Event, "event"},
+                              {AnswerBound::Stream, "stream"},
+                              {AnswerBound::Time, "time"}})
+
 struct AttemptEnded
 {
     AttemptId attempt;
     AttemptResult result = AttemptResult::Lost;
+    AnswerBound bound = AnswerBound::None;
     int status = 0; ///< HTTP status of the answer.
     std::int64_t tokens = 0; ///< Generated.
     std::int64_t eventsRelayed = 0; ///< Stream events that the caller already has.
     bool connectionLost = false; ///< The target closed or reset; tells a crash from silence.
     std::optional<StoredAnswer> answer; ///< For recorded calls.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AttemptEnded, attempt, result, status, tokens,
-                                                eventsRelayed, connectionLost, answer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AttemptEnded, attempt, result, bound, status,
+                                                tokens, eventsRelayed, connectionLost, answer)
 
 /** A message of a control host. */
 struct ControlMessageEvent
--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -15,6 +15,7 @@
 
 constexpr long CONNECT_TIMEOUT_MS = 500;
 constexpr long ANSWER_TIMEOUT_MS = 70'000;
+constexpr std::size_t MAX_ANSWER_BYTES = 64 << 20;
 constexpr Duration RESEND_PAUSE = 300ms;
 
 /** One request in flight. */
@@ -36,6 +37,8 @@
     auto &sending = *static_cast<Sending *>(self);
     if (sending.body.empty())
         sending.outcome.firstByte = MonotonicClock::now() - sending.scheduled;
+    if (sending.body.size() + size * count > MAX_ANSWER_BYTES)
+        return 0; // Counts as broken.
     sending.body.append(data, size * count);
     return size * count;
 }
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -25,6 +25,7 @@
 constexpr Duration ORDER_ANSWER_LIMIT = 1s; ///< From the last moment to send until the answer.
 /** The system stops sending an order's bytes again; the rest is for the time until they leave. */
 constexpr Duration ORDER_UNACKNOWLEDGED_LIMIT = ORDER_ARRIVAL_LIMIT / 2;
+constexpr std::size_t MAX_ORDER_ANSWER_BYTES = 1 << 20; ///< Of an order or an inspection.
 constexpr long MAX_POOLED_CONNECTIONS = 1'024;
 
 struct Cancel
@@ -50,17 +51,33 @@
     std::variant<SendOrder, InspectTarget> call;
     std::string body;
     std::string answer;
+    std::size_t headBytes = 0; ///< Of the answer.
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     bool held = false; ///< The lease had ended when the connection stood.
 };
 
-std::size_t appendAnswer(char *data, std::size_t size, std::size_t count, void *out)
+std::size_t appendAnswer(char *data, std::size_t size, std::size_t count, void *self)
 {
-    static_cast<std::string *>(out)->append(data, size * count);
+    auto &transfer = *static_cast<OrderTransfer *>(self);
+    if (transfer.answer.size() + size * count > MAX_ORDER_ANSWER_BYTES) {
+        logDecision("orderAnswerTooLong", {{"bound", AnswerBound::Plain}});
+        return 0;
+    }
+    transfer.answer.append(data, size * count);
     return size * count;
 }
 
+std::size_t countHead(char *, std::size_t size, std::size_t count, void *self)
+{
+    auto &transfer = *static_cast<OrderTransfer *>(self);
+    transfer.headBytes += size * count;
+    if (transfer.headBytes <= MAX_HEAD_BYTES)
+        return size * count;
+    logDecision("orderAnswerTooLong", {{"bound", AnswerBound::Head}});
+    return 0;
+}
+
 /** Writes a line on what becomes of an order that was decided before @p now. */
 void logOrder(const char *event, const SendOrder &order, TimePoint now)
 {
@@ -164,6 +181,7 @@
             if (now >= silenceDue) {
                 silenceDue = now + SILENCE_CHECK_INTERVAL;
                 this->endSilent(now);
+                this->endOverdue(now);
             }
             curl_multi_poll(this->multi, nullptr, 0, POLL_MS, nullptr);
         }
@@ -267,7 +285,9 @@
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendAnswer);
-        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer.answer);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &countHead);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     }
 
     void begin(std::unique_ptr<OrderTransfer> transfer)
@@ -352,6 +372,15 @@
             this->conclude(this->transfers.find(id), CURLE_OPERATION_TIMEDOUT, true, false);
     }
 
+    void endOverdue(TimePoint now)
+    {
+        for (auto it = this->transfers.begin(); it != this->transfers.end();) {
+            const auto transfer = it++;
+            if (transfer->second->isOverdue(now))
+                this->conclude(transfer, CURLE_ABORTED_BY_CALLBACK, false, false);
+        }
+    }
+
     std::shared_ptr<ExchangeTable> exchanges;
     const Edge &edge;
     const std::string holder;
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -11,8 +11,11 @@
 
 namespace {
 
-constexpr std::size_t MAX_PLAIN_ANSWER_BYTES = 64 << 20;
+constexpr std::size_t MAX_PLAIN_ANSWER_BYTES = 8 << 20;
+constexpr std::size_t MAX_EVENT_BYTES = 256 << 10;
+constexpr std::size_t MAX_STREAM_BYTES = 32 << 20; ///< All events of an attempt together.
 constexpr const char *EVENT_END = "\n\n";
+constexpr const char *STREAM_END = "data: [DONE]";
 constexpr int SERVER_ERROR = 500; ///< Least such status.
 curl_slist *addHeader(curl_slist *list, const std::string &name, const std::string &value)
 {
@@ -51,7 +54,6 @@
     , easy(curl_easy_init())
     , exchange(std::move(exchange))
     , edge(edge)
-    , startedAt(now)
     , lastByte(now)
     , events(attempt.resumeAfter)
 {
@@ -150,8 +152,12 @@
     auto &transfer = *static_cast<Transfer *>(self);
     transfer.lastByte = MonotonicClock::now();
     transfer.gotByte = true;
-    transfer.takeHeader(std::string(data, size * count));
-    return size * count;
+    const std::size_t bytes = size * count;
+    transfer.headBytes += bytes;
+    if (transfer.headBytes > MAX_HEAD_BYTES)
+        return transfer.passBound(AnswerBound::Head);
+    transfer.takeHeader(std::string(data, bytes));
+    return bytes;
 }
 
 void Transfer::takeHeader(std::string line)
@@ -193,28 +199,50 @@
         return 0; // Another request's answer: ends the transfer.
     if (!transfer.streams()) {
         if (transfer.body.size() + bytes > MAX_PLAIN_ANSWER_BYTES)
-            return 0;
+            return transfer.passBound(AnswerBound::Plain);
         transfer.body.append(data, bytes);
         return bytes;
     }
+    if (transfer.sawDone)
+        return 0; // What follows the end marker is nobody's.
+    if (transfer.streamBytes + bytes > MAX_STREAM_BYTES)
+        return transfer.passBound(AnswerBound::Stream);
     if (!transfer.relay({data, bytes})) {
         transfer.paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
-    return bytes;
+    transfer.streamBytes += bytes;
+    return transfer.body.size() > MAX_EVENT_BYTES ? transfer.passBound(AnswerBound::Event) : bytes;
+}
+
+/** @return What ends the transfer when a callback returns it. */
+std::size_t Transfer::passBound(AnswerBound passed)
+{
+    this->bound = passed;
+    return 0;
+}
+
+bool Transfer::isOverdue(TimePoint now)
+{
+    if (now > this->attempt.deadline)
+        this->bound = AnswerBound::Time;
+    return this->bound == AnswerBound::Time;
 }
 
 /** Relays whole events only, so that a resumed stream goes on exactly where it broke. */
 bool Transfer::relay(std::string_view bytes)
 {
-    std::string pending = this->body;
-    pending.append(bytes);
-    const std::size_t end = pending.rfind(EVENT_END);
-    if (end == std::string::npos) {
-        this->body = std::move(pending);
+    const std::size_t held = this->body.size();
+    this->body.append(bytes);
+    // The end may straddle what was held, which has none itself.
+    const std::size_t begin = held > 0 ? held - 1 : 0;
+    std::size_t end = std::string_view(this->body).substr(begin).rfind(EVENT_END);
+    if (end == std::string::npos)
         return true;
-    }
-    const std::string whole = pending.substr(0, end + 2);
+    end += begin + 2;
+    const std::size_t marked = this->markedEnd();
+    end = std::min(end, marked);
+    const std::string_view whole = std::string_view(this->body).substr(0, end);
     const bool first = this->events == 0 && this->attempt.resumeAfter == 0;
     if (first)
         this->exchange->begin(this->status, "", this->readHead().relayed, "", true);
@@ -225,16 +253,30 @@
             && !this->exchange->buffer.empty();
         if (full) {
             this->exchange->drained = this->onRoom;
+            this->body.resize(held); // The library brings the same bytes again.
             return false;
         }
     }
     this->exchange->append(whole);
     this->events = this->countEvents(whole);
-    this->sawDone = this->sawDone || whole.find("data: [DONE]") != std::string::npos;
-    this->body = pending.substr(end + 2);
+    this->sawDone = marked != std::string::npos;
+    this->body.erase(0, this->sawDone ? std::string::npos : end);
     return true;
 }
 
+/** @return Where the event with the end marker ends in @c body; npos if it is not there. */
+std::size_t Transfer::markedEnd() const
+{
+    if (this->edge.answerEnd != AnswerEnd::Marked)
+        return std::string::npos;
+    std::size_t marker = this->body.find(STREAM_END);
+    while (marker != std::string::npos && marker > 0 && this->body[marker - 1] != '\n')
+        marker = this->body.find(STREAM_END, marker + 1); // Within a line it is generated text.
+    const std::size_t end
+        = marker == std::string::npos ? marker : this->body.find(EVENT_END, marker);
+    return end == std::string::npos ? end : end + 2;
+}
+
 /** @return Number of the last event of @p whole, by its own word or by counting. */
 std::int64_t Transfer::countEvents(std::string_view whole) const
 {
@@ -248,6 +290,18 @@
     return last;
 }
 
+/** Notes when the library itself has found no answer in the bytes; a reset has an error number. */
+void Transfer::noteForm(CURLcode code)
+{
+    long error = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_OS_ERRNO, &error);
+    // Where a line is too long the library says that there is no memory.
+    const bool malformed = code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY
+        || code == CURLE_OUT_OF_MEMORY || (code == CURLE_RECV_ERROR && error == 0);
+    if (malformed && this->bound == AnswerBound::None)
+        this->bound = AnswerBound::Form;
+}
+
 AttemptResult Transfer::classify(CURLcode code)
 {
     long sent = 0;
@@ -259,6 +313,8 @@
         return AttemptResult::Refused;
     if (!answer.own)
         return AttemptResult::Mismatched;
+    if (code == CURLE_WRITE_ERROR && this->sawDone)
+        return AttemptResult::Answered;
     if (code != CURLE_OK)
         return AttemptResult::Lost;
     if (this->edge.answerEnd == AnswerEnd::Framed)
@@ -289,11 +345,17 @@
     AttemptEnded ended;
     ended.attempt = this->attempt.attempt;
     ended.result = this->classify(code);
+    this->noteForm(code);
+    if (this->bound == AnswerBound::Time)
+        cancelled = true;
+    else if (this->bound != AnswerBound::None)
+        ended.result = AttemptResult::NoAnswer;
     if (stalled)
         ended.result = AttemptResult::Stalled;
     if (cancelled)
         ended.result = AttemptResult::Cancelled;
     ended.status = this->status;
+    ended.bound = this->bound;
     ended.eventsRelayed = this->events;
     ended.connectionLost = ended.result == AttemptResult::Lost && code != CURLE_OPERATION_TIMEDOUT;
     const bool failed = this->status >= SERVER_ERROR && this->attempt.holdFailures;
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -11,6 +11,9 @@
 
 namespace bilberry {
 
+/** All header lines of an answer, of interim answers before it and of its trailer. */
+constexpr std::size_t MAX_HEAD_BYTES = 64 << 10;
+
 /** Writes a line on an attempt that must not leave any more. */
 void logHeldBack(const StartAttempt &attempt, TimePoint now);
 
@@ -33,6 +36,9 @@
     /** @return Whether a limit has passed. */
     bool isSilent(TimePoint now) const;
 
+    /** @return Whether the request's time is over, whatever comes. */
+    bool isOverdue(TimePoint now);
+
     /** @return How the attempt ended, and gives the caller what is still to be given. */
     AttemptEnded conclude(CURLcode code, bool stalled, bool cancelled);
 
@@ -49,6 +55,9 @@
     static int beforeSending(void *self, char *, char *, int, int);
     void takeHeader(std::string line);
     bool relay(std::string_view bytes);
+    std::size_t markedEnd() const;
+    std::size_t passBound(AnswerBound passed);
+    void noteForm(CURLcode code);
     /** Reads the head once its last header has come. */
     const AnswerHead &readHead();
     bool streams() { return this->readHead().streamed; }
@@ -64,14 +73,16 @@
     std::shared_ptr<Exchange> exchange;
     const Edge &edge;
     std::size_t uploaded = 0; ///< Bytes of the request's body.
-    TimePoint startedAt;
     TimePoint lastByte;
     bool gotByte = false;
     int status = 0;
     HeaderList headers; ///< Of the answer.
     std::optional<AnswerHead> head;
     bool framed = false; ///< The answer has a length or is chunked.
-    bool sawDone = false; ///< End marker of a stream.
+    bool sawDone = false; ///< End marker of a stream; what follows is dropped.
+    AnswerBound bound = AnswerBound::None; ///< That the answer has passed.
+    std::size_t headBytes = 0;
+    std::size_t streamBytes = 0;
     std::int64_t events = 0; ///< Relayed, over all attempts of the stream.
     std::string body; ///< Plain answer, or the beginning of an event.
 };
