Add: [Net] An order on the own interface names the host that gives it

Engines and their stand-in could not tell two leaders' orders apart: only a platform's wire named the holder. Engines that ignore the header are served as before.

--- a/src/net/own_edge.cpp
+++ b/src/net/own_edge.cpp
@@ -69,9 +69,11 @@
     return std::nullopt; // Events have no numbers of their own: they are counted.
 }
 
-EncodedOrder encodeOrder(const Order &order, const std::string &)
+EncodedOrder encodeOrder(const Order &order, const std::string &holder)
 {
-    return {"/orders", {{"Content-Type", "application/json"}}, nlohmann::json(order).dump()};
+    return {"/orders",
+            {{"Content-Type", "application/json"}, {"X-Order-Holder", holder}},
+            nlohmann::json(order).dump()};
 }
 
 std::string inspectionPath()
