Add: [Tests] The stand-in engine counts orders that fencing numbers would have refused

It notes by its monotonic clock when each order arrives and who gives it. An order that came while the process did not run has no known time: only what is too close at every possible time counts.

--- a/src/tests/fakes/fake_target.cpp
+++ b/src/tests/fakes/fake_target.cpp
@@ -44,6 +44,7 @@
     int adapterLoadMs = 20;
     int warmupMs = 0; ///< Fresh time in which more than two requests at once kill it.
     bool checksFencing = false;
+    int separationMs = 3'000; ///< Least between orders of two holders; see OrderWatch.
     std::string crashWord; ///< A body with this word ends the process.
     std::string silentWord; ///< A body with this word gets no answer.
     std::string crossWord; ///< A body with this word gets another request's answer.
@@ -58,6 +59,26 @@
     std::vector<std::string> events;
 };
 
+using Clock = std::chrono::steady_clock;
+
+/** When an order arrived: between these two, if the process was not running then. */
+struct Arrival
+{
+    Clock::time_point earliest;
+    Clock::time_point latest;
+};
+
+/** What an engine that ignores fencing numbers relies on, and how often it did not hold. */
+struct OrderWatch
+{
+    std::map<std::string, Arrival> lastBy; ///< Latest order of each holder.
+    std::map<FencingNumber, std::string> holderOf;
+    std::int64_t taken = 0;
+    std::int64_t close = 0; ///< Two holders' orders with certainty closer than the separation.
+    std::int64_t lower = 0; ///< A lower number after a higher one.
+    std::int64_t shared = 0; ///< One number from two holders.
+};
+
 /** All state of the fake. */
 struct Fake
 {
@@ -78,9 +99,76 @@
     std::int64_t served = 0;
     std::atomic<bool> changed{true};
     std::mt19937 random{1};
-    std::chrono::steady_clock::time_point started = std::chrono::steady_clock::now();
+    Clock::time_point started = Clock::now();
+    OrderWatch orders;
+    Clock::time_point ticked = started; ///< Last time at which the process certainly ran.
+    Clock::time_point stoppedFrom; ///< Begin and end of the last time in which it did not.
+    Clock::time_point stoppedTo;
 };
 
+constexpr auto TICK = std::chrono::milliseconds(10);
+constexpr auto STOP_LEAST = std::chrono::milliseconds(50); ///< Between ticks: it did not run.
+constexpr auto WAKE_TIME = std::chrono::milliseconds(200); ///< Until what waited has been read.
+
+void noteTick(Fake &fake)
+{
+    const Clock::time_point now = Clock::now();
+    if (now - fake.ticked > STOP_LEAST) {
+        fake.stoppedFrom = fake.ticked;
+        fake.stoppedTo = now;
+    }
+    fake.ticked = now;
+}
+
+void tickForever(Fake &fake)
+{
+    while (true) {
+        {
+            absl::MutexLock lock(&fake.mutex);
+            noteTick(fake);
+        }
+        std::this_thread::sleep_for(TICK);
+    }
+}
+
+void printBreach(const Fake &fake, const Order &order, const std::string &holder,
+                 const std::string &what)
+{
+    std::cerr << fake.options.id << ": order breach: " << nlohmann::json(order.action) << " "
+              << order.fencing.value << " of " << holder << " " << what << std::endl;
+}
+
+/** Compares an order with the earlier ones; one that is a breach in several ways counts in each. */
+void watchOrder(Fake &fake, const Order &order, const std::string &holder)
+{
+    noteTick(fake);
+    OrderWatch &watch = fake.orders;
+    Arrival arrival{fake.ticked, fake.ticked};
+    if (arrival.latest - fake.stoppedTo < WAKE_TIME)
+        arrival.earliest = fake.stoppedFrom;
+    ++watch.taken;
+    for (const auto &[other, last] : watch.lastBy) {
+        const auto apart
+            = std::chrono::duration_cast<std::chrono::milliseconds>(arrival.latest - last.earliest);
+        if (other == holder || apart.count() >= fake.options.separationMs)
+            continue;
+        ++watch.close;
+        printBreach(fake, order, holder,
+                    std::to_string(apart.count()) + " ms after one of " + other);
+    }
+    watch.lastBy[holder] = arrival;
+    if (!watch.holderOf.empty() && order.fencing < watch.holderOf.rbegin()->first) {
+        ++watch.lower;
+        printBreach(fake, order, holder,
+                    "after " + std::to_string(watch.holderOf.rbegin()->first.value));
+    }
+    const std::string &first = watch.holderOf.emplace(order.fencing, holder).first->second;
+    if (first != holder) {
+        ++watch.shared;
+        printBreach(fake, order, holder, "after the same of " + first);
+    }
+}
+
 std::int64_t loadTime(const Fake &fake, const Variant &variant)
 {
     if (!variant.adapter.value.empty())
@@ -106,10 +194,12 @@
     fake.changed = true;
 }
 
-HttpReply takeOrder(Fake &fake, const Order &order)
+HttpReply takeOrder(Fake &fake, const Order &order, const std::string &holder)
 {
     absl::MutexLock lock(&fake.mutex);
     auto &announcement = fake.announcement;
+    if (!fake.options.checksFencing)
+        watchOrder(fake, order, holder);
     if (fake.options.checksFencing && order.fencing < announcement.lastOrder)
         return {409, "application/json", R"({"error":"old fencing number"})"};
     const auto same = [&](const LoadedVariant &item) { return item.variant == order.variant; };
@@ -149,12 +239,22 @@
     std::int64_t doubled = 0;
     for (const auto &[body, count] : fake.ran)
         doubled += count > 1 ? 1 : 0;
-    return {{"id", fake.options.id},       {"served", fake.served},
-            {"distinct", fake.ran.size()}, {"doubled", doubled},
-            {"loads", fake.loadsDone},     {"overcommits", fake.overcommits},
-            {"overloads", fake.overloads}, {"mostRunning", fake.mostRunning},
-            {"keysSeen", fake.keysSeen},   {"loaded", fake.announcement.loaded},
-            {"usedMb", fake.usedMb}};
+    return {{"id", fake.options.id},
+            {"served", fake.served},
+            {"distinct", fake.ran.size()},
+            {"doubled", doubled},
+            {"loads", fake.loadsDone},
+            {"overcommits", fake.overcommits},
+            {"overloads", fake.overloads},
+            {"mostRunning", fake.mostRunning},
+            {"keysSeen", fake.keysSeen},
+            {"loaded", fake.announcement.loaded},
+            {"usedMb", fake.usedMb},
+            {"orders", fake.orders.taken},
+            {"holders", fake.orders.lastBy.size()},
+            {"closeOrders", fake.orders.close},
+            {"lowerOrders", fake.orders.lower},
+            {"sharedNumbers", fake.orders.shared}};
 }
 
 /** One request on the work port. */
@@ -342,7 +442,8 @@
         return send(connection, 200, "application/json", body, "");
     }
     if (work->path == "/orders") {
-        const HttpReply reply = takeOrder(fake, nlohmann::json::parse(work->body).get<Order>());
+        const HttpReply reply = takeOrder(fake, nlohmann::json::parse(work->body).get<Order>(),
+                                          lookup(connection, "X-Order-Holder"));
         return send(connection, reply.status, reply.contentType, reply.body, "");
     }
     const auto has = [&](const std::string &word) {
@@ -450,6 +551,7 @@
     if (daemon == nullptr)
         return 3;
     std::cout << fake.announcement.address << std::endl;
+    std::thread(&tickForever, std::ref(fake)).detach();
     if (fake.options.announceTo.empty())
         std::this_thread::sleep_for(std::chrono::hours(24));
     announceForever(fake);
@@ -475,9 +577,10 @@
         "first-ms", po::value(&o.firstMs))("service-ms", po::value(&o.serviceMs))(
         "remote-load-ms", po::value(&o.remoteLoadMs))("disk-load-ms", po::value(&o.diskLoadMs))(
         "warmup-ms", po::value(&o.warmupMs))("checks-fencing", po::bool_switch(&o.checksFencing))(
-        "crash-word", po::value(&o.crashWord))("silent-word", po::value(&o.silentWord))(
-        "cross-word", po::value(&o.crossWord))("break-word", po::value(&o.breakWord))(
-        "fault-percent", po::value(&o.faultPercent))("seed", po::value(&o.seed));
+        "separation-ms", po::value(&o.separationMs))("crash-word", po::value(&o.crashWord))(
+        "silent-word", po::value(&o.silentWord))("cross-word", po::value(&o.crossWord))(
+        "break-word", po::value(&o.breakWord))("fault-percent", po::value(&o.faultPercent))(
+        "seed", po::value(&o.seed));
     po::variables_map values;
     try {
         po::store(po::parse_command_line(argc, argv, description), values);
