Add: [Tests] The soak loses leaders with orders on their way and checks that leaders' orders stay apart

Engines of the users that ignore fencing got orders of two leaders less than 3 s apart, and no test with real processes saw it: nothing compared the orders that an engine got. check_targets now does, in every scenario and seed, killed engines included. Twice a seed the soak delays orders by up to 0.8 s between the leader and the engines, waits for an order on its way, and pauses or ends the leader or cuts the relay before it one way; the second time is the last fault, so that the successor stays. Engines hold 3 models of 8, so that orders go out all the time.

The plan of the other faults of a seed is drawn apart from these and stays as it was.

--- a/src/tests/system/fleet.py
+++ b/src/tests/system/fleet.py
@@ -165,11 +165,12 @@
     def status(self):
         return self.ctl("status")[1]
 
-    def leader(self):
+    def leader(self, timeout=1):
         for host in self.controls:
             if not self.alive(host):
                 continue
-            code, _, body = http("GET", f"127.0.0.1:{self.ports[host][1]}", "/member", timeout=1)
+            code, _, body = http("GET", f"127.0.0.1:{self.ports[host][1]}", "/member",
+                                 timeout=timeout)
             if code == 200 and json.loads(body)["leads"]:
                 return host
         return None
@@ -181,6 +182,11 @@
         _, _, body = http("GET", f"127.0.0.1:{self.addresses[target]}", "/statistics")
         return json.loads(body)
 
+    def log_lines(self, name, word):
+        """Lines with the word that all runs of a process have written."""
+        with open(f"{self.run}/{name}.log", encoding="utf-8", errors="replace") as lines:
+            return [line.strip() for line in lines if word in line]
+
     def caller(self, host):
         return f"127.0.0.1:{self.ports[host][0]}"
 
--- a/src/tests/system/scenarios.py
+++ b/src/tests/system/scenarios.py
@@ -15,6 +15,8 @@
 ONCE = "a request that may not be repeated runs at most once"
 NOT_RUN = "a refusal saying not-run is true"
 REPLICAS = "no more replicas than decided, memory never overcommitted"
+APART = "two leaders' orders to one target stay apart"
+NUMBERS = "an order's number is of one leader and never goes back"
 KEYS = "a withdrawn key stops working within seconds"
 NO_KEY = "no target sees a key"
 RATE = "no account exceeds its rate and burst"
@@ -84,10 +86,17 @@
 def check_targets(report, site, engines=3, ledgers=1):
     """What the targets saw."""
     for i in range(engines):
+        breaches = site.log_lines(f"e{i + 1}", "order breach")  # Also of runs that were killed.
+        close = [line for line in breaches if " ms after " in line]
+        report.check(APART, not close, f"{close}")
+        report.check(NUMBERS, len(close) == len(breaches), f"{breaches}")
         if not site.alive(f"e{i + 1}"):
             continue
         seen = site.statistics(f"e{i + 1}")
         report.check(REPLICAS, seen["overcommits"] == 0, f"{seen}")
+        report.check(APART, seen["closeOrders"] == 0, f"{seen}")
+        report.check(NUMBERS, seen["lowerOrders"] == 0, f"{seen}")
+        report.check(NUMBERS, seen["sharedNumbers"] == 0, f"{seen}")
         report.check(NO_KEY, seen["keysSeen"] == 0, f"{seen}")
     for i in range(ledgers):
         seen = site.statistics(f"l{i + 1}")
--- a/src/tests/system/soak.py
+++ b/src/tests/system/soak.py
@@ -19,8 +19,12 @@
 from scenarios import (CONFIG, RATE, SERVICE, check_answers, check_targets, mixed)
 
 REGRESSIONS = {  # Seed: cause.
+    4: "a new leader ordered 3 s after its election, when an order of the old one was on its way",
+    6: "as 4",
     41: "an operator's call blocked the thread that ends pauses: a host stayed paused for 16 s"}
 MOST_PAUSE_S = 3.0
+MOST_ORDER_DELAY_S = 0.8  # An order must arrive within a second; the rest is for a busy machine.
+ORDER_WAIT_S = 5.0  # A fault of the leader waits so long for an order: new leaders hold them back.
 GUEST_RATE = 20  # Requests a second, and as many at once; see default_folder().
 RECOVERY_S = 20
 POLL_S = 0.1
@@ -30,9 +34,11 @@
 class FaultRelay:
     """Loopback proxy that delays, resets, cuts one way, or silences connections."""
 
-    def __init__(self, port, to_port):
+    def __init__(self, port, to_port, slow=("in", "out")):
         self.to_port = to_port
+        self.slow = slow  # Directions that are delayed.
         self.delay = 0.0
+        self.order = threading.Event()  # An order has come in.
         self.deaf = set()  # Directions whose bytes are lost: "in", "out".
         self.generation = 0
         self.sockets = set()
@@ -83,7 +89,9 @@
             while data := source.recv(65536):
                 if generation != self.generation or way in self.deaf:
                     continue
-                if self.delay:
+                if data.startswith(b"POST /orders "):
+                    self.order.set()
+                if self.delay and way in self.slow:
                     time.sleep(self.delay)
                 sink.sendall(data)
         except OSError:
@@ -97,10 +105,11 @@
 
 
 class SoakSite(Site):
-    """A site whose control hosts are reached through relays."""
+    """A site whose control hosts and engines are reached through relays."""
 
     def __init__(self, *args, **more):
         self.relays = {}
+        self.engine_relays = {}
         super().__init__(*args, **more)
 
     def write_settings(self, host, zone, data=None):
@@ -116,6 +125,13 @@
         with open(path, "w", encoding="utf-8") as out:
             json.dump(settings, out)
 
+    def start_engine(self, name, zone, *options):
+        """Returns the relay, which delays what the engine gets."""
+        self.addresses[name], front = free_ports(2)
+        self.engine_relays[name] = FaultRelay(front, self.addresses[name], slow=("in",))
+        self.start_target(name, zone, "--advertise", f"127.0.0.1:{front}", *options)
+        return self.engine_relays[name]
+
 
 class VersionWatch:
     """Reads each host's table version all the time: within a run of a host it never goes back."""
@@ -163,6 +179,7 @@
 
     def __init__(self, build, seed, seconds, report, most_hosts):
         self.random = random.Random(seed)
+        self.leader_random = random.Random(f"leader {seed}")  # A series of its own.
         self.seconds, self.report, self.seed = seconds, report, seed
         hosts = self.random.randint(3, most_hosts)
         self.engines = self.random.randint(2, max(4, hosts // 4))
@@ -170,13 +187,14 @@
         self.undo = []  # (time, function)
         self.operators = []
         self.accepted = 0
+        self.handed_over = 0  # Engines that got orders of more than one leader.
         self.log = []
 
     def start_targets(self):
         site = self.site
         for i in range(self.engines):
-            site.start_target(f"e{i + 1}", site.zones[i % 3], "--disk-load-ms", "150",
-                              "--remote-load-ms", "400")
+            site.start_engine(f"e{i + 1}", site.zones[i % 3], "--disk-load-ms", "150",
+                              "--remote-load-ms", "400", "--memory-mb", "48000")
         lost = str(self.random.choice([0, 5, 15]))
         site.start_target("l1", "z1", "--fault-percent", lost, kind="service", service="holds")
         for i in range(2):
@@ -251,6 +269,45 @@
         self.later(self.random.uniform(0.5, 3), relay.heal)
         return control, kind
 
+    def strike_leader(self):
+        """Orders are late on their way, and the leader that gave them is lost just then."""
+        kind = self.leader_random.choice(["pause", "pause", "end", "end", "in", "out"])
+        delay = self.leader_random.choice([0, self.leader_random.uniform(0.2, MOST_ORDER_DELAY_S),
+                                           MOST_ORDER_DELAY_S])
+        seconds = self.leader_random.uniform(0.3, 2)
+        for relay in self.site.engine_relays.values():
+            relay.order.clear()
+            relay.delay = delay
+        latest = time.monotonic() + ORDER_WAIT_S
+
+        def strike():
+            ordered = any(relay.order.is_set() for relay in self.site.engine_relays.values())
+            if not ordered and time.monotonic() < latest:
+                self.later(0, strike)
+                return
+            for relay in self.site.engine_relays.values():
+                self.later(delay, relay.heal)
+            leader = self.site.leader(timeout=0.2)
+            self.log.append((kind, leader, "with an order" if ordered else "without an order"))
+            if leader:
+                self.lose_leader(leader, kind, seconds)
+        self.later(0, strike)
+        return kind, round(delay, 2), round(seconds, 2)
+
+    def lose_leader(self, leader, kind, seconds):
+        process = self.site.processes[leader]
+        if kind == "pause":
+            process.send_signal(signal.SIGSTOP)
+            self.later(seconds,
+                       lambda: process.poll() is None and process.send_signal(signal.SIGCONT))
+        elif kind == "end":
+            process.send_signal(signal.SIGTERM)
+            self.later(seconds, lambda: self.replace(leader))
+        else:
+            relay = self.site.relays[leader][1]
+            relay.deaf = {kind}
+            self.later(seconds, relay.heal)
+
     def aside(self, function):
         """Operators act on their own: faults must not wait for their calls."""
         thread = threading.Thread(target=function, daemon=True)
@@ -281,14 +338,19 @@
                    self.apply_configuration, self.take_zone_out]
         begin = time.monotonic()
         due = begin + 1
+        last = self.seconds - MOST_PAUSE_S  # No fault begins later: the successor stays.
+        strikes = [self.leader_random.uniform(0.5, 2), last]
         while (now := time.monotonic()) < begin + self.seconds or self.undo:
             for item in [item for item in self.undo if item[0] <= now]:
                 self.undo.remove(item)
                 item[1]()
-            if due <= now < begin + self.seconds - MOST_PAUSE_S:
+            if due <= now < begin + last:
                 action = self.random.choice(actions)
                 self.log.append((round(now - begin, 2), action.__name__, action()))
                 due = now + self.random.choice([0.05, 0.3, 0.8, 1.5])
+            if strikes and begin + strikes[0] <= now:
+                strikes.pop(0)
+                self.log.append((round(now - begin, 2), "strike_leader", self.strike_leader()))
             time.sleep(0.02)
 
     def check_recovery(self):
@@ -320,6 +382,9 @@
             watch = VersionWatch(self.site, self.report)
             profiles = mixed() + [{"account": "guest", "path": "/calendar", "perSecond": 40,
                                    "timeLimitMs": 2000}]
+            # More models than the engines hold: orders go out all the time.
+            profiles += [{"account": "desk", "model": f"m{i}", "perSecond": 2, "tokens": 2,
+                          "timeLimitMs": 10000} for i in range(3, 9)]
             finish = self.site.load(self.seconds, profiles, self.seed)
             self.play()
             _, outcomes = finish()
@@ -327,6 +392,8 @@
             check_rate(self.report, outcomes)
             self.check_recovery()
             check_targets(self.report, self.site, engines=self.engines)
+            self.handed_over = sum(self.site.statistics(f"e{i + 1}")["holders"] > 1
+                                   for i in range(self.engines))
         finally:
             if watch:
                 watch.stop()
@@ -351,7 +418,8 @@
         soak.run()
         breaches = sum(report.failures.values())
         print(f"seed {seed}: {len(soak.log)} faults, {sum(report.checks.values())} checks, "
-              f"{breaches} failed", flush=True)
+              f"{breaches} failed, {soak.handed_over} engines had several leaders' orders",
+              flush=True)
         if breaches:
             failed.append(seed)
             print(f"  faults: {soak.log}", flush=True)
