Add: [Tests] Scenario of a leader handed over while an order arrives late

The order is delayed by 0.8 s before the engine and its leader ends meanwhile; the successor has orders waiting.

--- a/src/tests/system/scenarios.py
+++ b/src/tests/system/scenarios.py
@@ -30,7 +30,8 @@
 SERVICE = "service comes back after the failure"
 
 CI = {"unrepeatable_with_lost_answers", "not_run_is_true", "operators_race", "cold_burst",
-      "key_withdrawn", "platform_whole_path", "short_soak"}
+      "key_withdrawn", "platform_whole_path", "short_soak",
+      "leader_handed_over_while_an_order_arrives_late"}
 SOAK_SEED = 3
 SOAK_SECONDS = 8
 IN_FORCE_S = 2.5  # Two seconds, and the time of the tools around it.
@@ -152,6 +153,32 @@
         check_targets(report, site)
 
 
+def scenario_leader_handed_over_while_an_order_arrives_late(build, report, seed):
+    """Guards against a successor that waits only from its election: an order on the way is late."""
+    import soak  # pylint: disable=import-outside-toplevel
+    site = soak.SoakSite(build, hosts=4)
+    try:
+        relay = site.start_engine("e1", "z1", "--disk-load-ms", "50", "--remote-load-ms", "50")
+        site.set_up()
+        site.wait_targets(1)
+        relay.delay = soak.MOST_ORDER_DELAY_S
+        finish = site.load(6, [{"account": "desk", "model": f"m{i}", "perSecond": 2, "tokens": 2,
+                                "timeLimitMs": 10000} for i in range(1, 9)], seed, hosts=["h4"])
+        report.check(SERVICE, relay.order.wait(10), "no order was given")
+        leader = site.leader()
+        site.signal(leader, signal.SIGTERM)
+        successor = wait_for(lambda: site.leader() not in (None, leader), 5)
+        report.check(SERVICE, successor is not None, "no new leader")
+        time.sleep(relay.delay)
+        relay.heal()
+        finish()
+        holders = wait_for(lambda: site.statistics("e1")["holders"] >= 2, 5)
+        report.check(SERVICE, holders is not None, "the new leader gave no order")
+        check_targets(report, site, engines=1, ledgers=0)
+    finally:
+        site.close()
+
+
 def scenario_host_killed(build, report, seed):
     """An entry host without the control role dies and comes back."""
     with running(build, hosts=4) as site:
