Fix: [Placement] A new leader repeats an inherited unload under a number of its own

What targets saw: on the own interface one fencing number from two leaders, for an unload that the first had decided and the second repeated. The users' wire, where orders are counted, was not affected.

Cause: only inherited loads were withheld, and only counted orders renumbered; an inherited unload to a target that checks no numbers went out as it was.

Fix: the decision gets a new number, which is committed before the order goes out, as for counted orders. A second unload does no harm.

--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -145,7 +145,9 @@
         const bool counts = planner.tuning.countsOrders && !fenced;
         const bool overtaken = counts
             && replica->fencing < acceptedBy(planner, replica->target, replica->start).sent;
-        if ((inherited && counts) || overtaken) {
+        const bool loads = replica->state == ReplicaState::Loading;
+        const bool foreign = inherited && !fenced && (counts || !loads);
+        if (foreign || overtaken) {
             // An earlier leader may have used this number, or a higher one has gone out already.
             planner.repeats.insert(*id);
             continue;
@@ -161,7 +163,7 @@
         planner.orders[*id] = order;
         // An earlier leader may have sent this load to a target that would carry it out twice; its
         // inventory settles what became of it.
-        if (inherited && !fenced && replica->state == ReplicaState::Loading)
+        if (inherited && !fenced && loads)
             continue;
         due.orders.push_back(order);
     }
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -247,6 +247,21 @@
     cr_assert_gt(due.orders[0].order.fencing.value, 5);
 }
 
+// Guards against one number from two leaders at a target that neither checks nor counts orders.
+Test(orders, a_new_leader_repeats_an_inherited_unload_under_a_number_of_its_own)
+{
+    Orders o;
+    o.planner.tuning.countsOrders = false;
+    o.commit(makeReplica("a", 5, ReplicaState::Unloading));
+    o.planner.inherited = FencingNumber(5);
+    cr_assert(o.due().orders.empty());
+    o.decidePass();
+    const DueOrders due = o.due();
+    cr_assert_eq(due.orders.size(), 1);
+    cr_assert_eq(due.orders[0].order.action, OrderAction::Unload);
+    cr_assert_gt(due.orders[0].order.fencing.value, 5);
+}
+
 Test(orders, the_model_that_most_callers_want_gets_the_room_that_was_made_for_it)
 {
     // The pattern: demand moves to other models while callers are told to come back.
