Fix: [Placement] A load is checked against the inventory that belongs to the accepted count

Class: a fact taken over at a change of leader without the version that it belongs to. Change: an inspection also yields what the target holds and is loading. The planner keeps that inventory beside the count and updates it with each accepted order; a load leaves only if it fits, whatever the announcements said. If it does not, the record is removed, or the target is inspected again where unloads may have ended meanwhile. The registry takes over what an inspection shows for the time in which older heartbeats can arrive. The stand-in engine refuses what it has no room for, adapter places included, and counts it; its answer before was to load.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -238,16 +238,22 @@
             effects, now);
 }
 
-/** Adds an assumption if the target has accepted an adapter order that carries a precondition. */
-void recordAdapterOrder(Leadership &leadership, const OrderReplyEvent &event, TimePoint now)
+/**
+ * Updates the assumptions if the target has accepted an order that carries a precondition. An
+ * accepted order for a model ends what an earlier inspection has shown: an announcement follows.
+ */
+void recordAcceptedOrder(Leadership &leadership, const OrderReplyEvent &event, TimePoint now)
 {
     const auto known = leadership.planner.orders.find(event.replica);
-    const bool adapter = known != leadership.planner.orders.end()
+    const bool accepted = known != leadership.planner.orders.end()
         && known->second.order.fencing == event.fencing && event.reply == OrderReply::Accepted
-        && known->second.order.precondition && !known->second.order.variant.adapter.value.empty();
-    if (!adapter)
+        && known->second.order.precondition;
+    if (!accepted)
         return;
     const Order &order = known->second.order;
+    dropAssumption(leadership, order.target, order.variant);
+    if (order.variant.adapter.value.empty())
+        return;
     // An adapter in use is unloaded later, and the target then announces the unload.
     if (order.action == OrderAction::Unload && !event.done)
         return;
@@ -259,9 +265,12 @@
 
 void onInspection(Control &control, const InspectionEvent &event, TimePoint now)
 {
-    if (control.leadership)
-        handleInspection(control.leadership->planner, event.target, event.start, event.inspection,
-                         now);
+    if (!control.leadership)
+        return;
+    Leadership &leadership = *control.leadership;
+    handleInspection(leadership.planner, event.target, event.start, event.inspection, now);
+    if (event.inspection && !event.inspection->busy && event.inspection->held)
+        assumeInventory(leadership, event.target, event.start, *event.inspection->held, now);
 }
 
 void onOrderReply(Control &control, const OrderReplyEvent &event, ControlEffects &effects,
@@ -269,9 +278,9 @@
 {
     if (!control.leadership)
         return;
-    recordAdapterOrder(*control.leadership, event, now);
+    recordAcceptedOrder(*control.leadership, event, now);
     const std::vector<std::string> gone = handleOrderReply(
-        control.leadership->planner, event.replica, event.fencing, event.reply, now);
+        control.leadership->planner, event.replica, event.fencing, event.reply, event.done, now);
     if (!gone.empty())
         (void)proposeCommand(control, UpdateReplicas{{}, gone}, {}, effects, now);
 }
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -100,17 +100,17 @@
 };
 
 /**
- * Expected effect of an accepted order to load or unload an adapter. Announcements that arrive
- * later may be older than the order.
+ * A variant that a target is known to hold or not to hold, from an accepted adapter order or from
+ * an inspection. Announcements that arrive later may be older.
  */
-struct AdapterAssumption
+struct VariantAssumption
 {
-    TimePoint effectiveAt; ///< Time from which the order counts as carried out.
+    TimePoint effectiveAt; ///< Time from which the assumption holds.
     TargetId target;
     Incarnation start;
     Variant variant;
     Version version;
-    bool loaded = false; ///< Whether the adapter is loaded afterwards.
+    bool loaded = false; ///< Whether the variant is loaded afterwards.
     bool applied = false; ///< Whether the effect was applied to the registry.
 };
 
@@ -143,7 +143,7 @@
         publishedUnloads; ///< Registry version that announces the unload, by replicaId().
     std::set<std::string>
         publishedLoads; ///< Loads in progress that the registry announces, by replicaId().
-    std::vector<AdapterAssumption> assumptions;
+    std::vector<VariantAssumption> assumptions;
     std::optional<ChangeMember>
         memberChange; ///< Operator's change in progress: its learner is catching up.
 };
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -83,6 +83,16 @@
     }
 }
 
+/** Proposes changes of replicas; no other pass runs until they are applied. */
+void proposePlacement(Control &control, UpdateReplicas update, ControlEffects &effects,
+                      TimePoint now)
+{
+    PendingCommand pending;
+    pending.kind = PendingCommand::Kind::Placement;
+    control.leadership->placementPending = true;
+    (void)proposeCommand(control, std::move(update), pending, effects, now);
+}
+
 void sendDueOrders(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
@@ -104,6 +114,10 @@
         effects.orders.push_back({replicaId(order.target, order.order.variant), target.address,
                                   order.order, leadership.term, now, sendBy});
     }
+    if (!due.withoutRoom.empty()) {
+        effects.logEvents.push_back({"loadsWithoutRoom", {{"replicas", due.withoutRoom}}});
+        proposePlacement(control, UpdateReplicas{{}, due.withoutRoom}, effects, now);
+    }
     for (const TargetId &id : due.inspections) {
         const TargetAnnouncement &target = leadership.registry.targets.at(id).announcement;
         effects.inspections.push_back({id, target.start, target.address});
@@ -118,6 +132,8 @@
     if (leadership.placementPending || !leadership.active)
         return;
     sendDueOrders(control, effects, now);
+    if (leadership.placementPending)
+        return;
     // A new leader decides only after live targets have had time to announce their inventories.
     if (now < leadership.placementDue || (now < leadership.electedAt + 1s && leadership.term > 1))
         return;
@@ -127,11 +143,8 @@
     PlacementDecision decision = decidePlacement(leadership.planner, input, now);
     if (decision.empty())
         return;
-    PendingCommand pending;
-    pending.kind = PendingCommand::Kind::Placement;
-    leadership.placementPending = true;
-    (void)proposeCommand(control, UpdateReplicas{std::move(decision.put), std::move(decision.gone)},
-                         pending, effects, now);
+    proposePlacement(control, UpdateReplicas{std::move(decision.put), std::move(decision.gone)},
+                     effects, now);
 }
 
 } // namespace bilberry
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -1,5 +1,5 @@
 /** @file order.cpp Issues orders for committed placement decisions and handles the replies. */
-#include "placement/planner_func.h"
+#include "placement/planner_internal.h"
 
 #include "state/view_func.h"
 
@@ -135,8 +135,88 @@
     accepted.uncertainSince = now;
 }
 
+/** @return Accelerator memory of a variant in MB, see memoryOf(). */
+std::int64_t memoryOfVariant(const PlacementInput &input, const Variant &variant)
+{
+    Replica replica;
+    replica.variant = variant;
+    return memoryOf(input.view, replica);
+}
+
+/** @return Whether the target has room for the replica beside @p held. */
+bool hasRoom(const PlacementInput &input, const std::set<Variant> &held, const Replica &replica)
+{
+    const TargetAnnouncement &target = input.registry.targets.at(replica.target).announcement;
+    const auto service = input.view.services.find(target.service);
+    const bool described = service != input.view.services.end();
+    std::set<Variant> after = held;
+    after.insert(replica.variant);
+    std::int64_t memoryMb = 0;
+    int adapters = 0;
+    for (const Variant &variant : after) {
+        memoryMb += memoryOfVariant(input, variant);
+        adapters += variant.adapter.value.empty() ? 0 : 1;
+    }
+    const std::int64_t capacityMb
+        = described && target.memoryMb == 0 ? service->second.memoryMb : target.memoryMb;
+    const bool limitsAdapters = described && service->second.adapterSlots > 0;
+    return memoryMb <= capacityMb && (!limitsAdapters || adapters <= service->second.adapterSlots);
+}
+
+/**
+ * Checks a load against the inventory that belongs to the accepted count. A target that crashes
+ * when it is ordered to load more than it can hold must not get a load that was decided from an
+ * outdated announcement.
+ * @return Whether the load can be sent. If not, the replica is added to @p due or, if the
+ * inventory may contain variants that are unloaded by now, the target is inspected again.
+ */
+bool checkRoom(Planner &planner, const PlacementInput &input, const std::string &id,
+               const Replica &replica, DueOrders &due, TimePoint now)
+{
+    AcceptedOrders &accepted = acceptedOrdersOf(planner, replica.target, replica.start);
+    if (!accepted.held || hasRoom(input, *accepted.held, replica))
+        return true;
+    if (accepted.acceptedSinceInspection) {
+        accepted.count.reset();
+        accepted.uncertainSince = now;
+        return false;
+    }
+    due.withoutRoom.push_back(id);
+    planner.orders.erase(id);
+    planner.variantBackoffUntil[replica.variant] = now + FAILED_VARIANT_BACKOFF;
+    return false;
+}
+
+/** Updates the record of a target that has accepted @p order. */
+void recordAccepted(AcceptedOrders &accepted, const Order &order, bool done, TimePoint now)
+{
+    accepted.count = *order.precondition + 1;
+    accepted.acceptedSinceInspection = true;
+    const bool isAdapter = !order.variant.adapter.value.empty();
+    if (order.action == OrderAction::Load) {
+        if (accepted.held)
+            accepted.held->insert(order.variant);
+    } else if (done) {
+        recordUnloaded(accepted, order.variant);
+    } else if (isAdapter && accepted.held) {
+        // The adapter is in use and is unloaded at an unknown time; no announcement follows.
+        accepted.count.reset();
+        accepted.uncertainSince = now;
+    }
+}
+
 } // namespace
 
+void recordUnloaded(AcceptedOrders &accepted, const Variant &variant)
+{
+    if (!accepted.held)
+        return;
+    const bool isModel = variant.adapter.value.empty();
+    std::erase_if(*accepted.held, [&](const Variant &held) {
+        return held == variant || (isModel && held.model == variant.model);
+    });
+}
+
 DueOrders issueDueOrders(Planner &planner, const PlacementInput &input,
                          const std::function<bool(const Replica &)> &drained, TimePoint now)
 {
@@ -167,6 +247,8 @@
         }
         if (usesPrecondition && !hasAcceptedCount(planner, *replica, due, now))
             continue;
+        if (usesPrecondition && isLoad && !checkRoom(planner, input, *id, *replica, due, now))
+            continue;
         OutstandingOrder order = makeOrder(*replica, now);
         if (usesPrecondition) {
             AcceptedOrders &accepted = planner.acceptedOrders[replica->target];
@@ -184,7 +266,8 @@
 }
 
 std::vector<std::string> handleOrderReply(Planner &planner, const std::string &replica,
-                                          FencingToken fencing, OrderReply reply, TimePoint now)
+                                          FencingToken fencing, OrderReply reply, bool done,
+                                          TimePoint now)
 {
     const auto it = planner.orders.find(replica);
     if (it == planner.orders.end() || it->second.order.fencing != fencing)
@@ -193,7 +276,7 @@
     if (reply == OrderReply::Accepted) {
         it->second.answered = true;
         if (usesPrecondition)
-            planner.acceptedOrders[it->second.target].count = *it->second.order.precondition + 1;
+            recordAccepted(planner.acceptedOrders[it->second.target], it->second.order, done, now);
         return {};
     }
     AcceptedOrders &accepted = acceptedOrdersOf(planner, it->second.target, it->second.order.start);
@@ -227,8 +310,16 @@
 {
     AcceptedOrders &accepted = acceptedOrdersOf(planner, target, start);
     accepted.inspectedAt = now;
-    if (inspection && !inspection->busy)
-        accepted.count = inspection->accepted;
+    if (!inspection || inspection->busy)
+        return;
+    accepted.count = inspection->accepted;
+    accepted.acceptedSinceInspection = false;
+    accepted.held.reset();
+    if (!inspection->held)
+        return;
+    accepted.held.emplace();
+    for (const LoadedVariant &item : *inspection->held)
+        accepted.held->insert(item.variant);
 }
 
 } // namespace bilberry
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -83,6 +83,12 @@
     TimePoint uncertainSince; ///< Last time at which an order may have been in flight.
     TimePoint inspectedAt; ///< Time of the last inspection request or reply.
     int consecutiveUnsent = 0; ///< Consecutive orders that were not sent before the lease ended.
+    /**
+     * Variants that the target holds after the first @c count orders, or more than these; nothing
+     * if the target does not list them. Announcements can be older than the latest orders.
+     */
+    std::optional<std::set<Variant>> held;
+    bool acceptedSinceInspection = false; ///< An order was accepted after the latest inspection.
 };
 
 /** Soft state of the planner; each leader starts with an empty planner. */
--- a/src/placement/planner_func.h
+++ b/src/placement/planner_func.h
@@ -38,6 +38,8 @@
 {
     std::vector<OutstandingOrder> orders;
     std::vector<TargetId> inspections;
+    std::vector<std::string> withoutRoom; ///< Ids of loading replicas for which the target has no
+                                          ///< room; their records must be removed.
 };
 
 /**
@@ -60,10 +62,12 @@
 
 /**
  * Handles the reply to an order; a reply to a superseded order is ignored.
+ * @param done Whether an accepted order is already carried out.
  * @return Id of the replica if its load has definitely failed, so that the record can be removed.
  */
 std::vector<std::string> handleOrderReply(Planner &planner, const std::string &replica,
-                                          FencingToken fencing, OrderReply reply, TimePoint now);
+                                          FencingToken fencing, OrderReply reply, bool done,
+                                          TimePoint now);
 
 /** Handles the reply to an inspection; @p inspection is empty if the target did not answer. */
 void handleInspection(Planner &planner, const TargetId &target, Incarnation start,
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -110,6 +110,9 @@
 /** @return The fastest tier in which the target has the checkpoint; Remote if it has none. */
 CacheTier tierOf(const TargetAnnouncement &target, const ModelId &model);
 
+/** Records that a target no longer holds a variant nor, if it is a model, the model's adapters. */
+void recordUnloaded(AcceptedOrders &accepted, const Variant &variant);
+
 /** Decides to unload a ready replica. @param replica Index into Pass::replicas. */
 void beginUnload(Pass &pass, std::size_t replica);
 
--- a/src/placement/reconcile.cpp
+++ b/src/placement/reconcile.cpp
@@ -66,6 +66,17 @@
     return !present && isUnloadConfirmed(pass, facts, target) ? Finding::Gone : Finding::AsExpected;
 }
 
+/** Records that the target has carried out the order to unload the model of @p facts, if any. */
+void recordConfirmedUnload(Pass &pass, const ReplicaFacts &facts)
+{
+    const Replica &replica = facts.current();
+    const auto accepted = pass.planner.acceptedOrders.find(replica.target);
+    const bool isModel = replica.variant.adapter.value.empty();
+    if (isModel && replica.state == ReplicaState::Unloading
+        && accepted != pass.planner.acceptedOrders.end())
+        recordUnloaded(accepted->second, replica.variant);
+}
+
 /** Records that a replica became ready or is gone, and removes its outstanding order. */
 void reconcileReplica(Pass &pass, ReplicaFacts &facts, const TargetFacts &target)
 {
@@ -85,6 +96,7 @@
             pass.planner.variantBackoffUntil[facts.current().variant]
                 = pass.now + FAILED_VARIANT_BACKOFF;
         facts.gone = true;
+        recordConfirmedUnload(pass, facts);
         pass.planner.orders.erase(*facts.id);
         pass.planner.loadsFromCache.erase(*facts.id);
         pass.decision.gone.push_back(*facts.id);
--- a/src/target/target_type.h
+++ b/src/target/target_type.h
@@ -6,6 +6,7 @@
 #include "core/time_type.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bilberry {
@@ -124,6 +125,8 @@
 {
     std::uint64_t accepted = 0; ///< Number of orders accepted since the start of the target.
     bool busy = false; ///< The target is carrying out an order.
+    /** Variants that the target holds or is loading; empty if the target does not list them. */
+    std::optional<std::vector<LoadedVariant>> held;
 };
 
 } // namespace bilberry
--- a/src/tests/control_group.h
+++ b/src/tests/control_group.h
@@ -163,7 +163,8 @@
         return nullptr;
     }
 
-    /** Sends a report of every daemon's host to the leader, if there is one. */
+    /** Sends a report of every daemon's host, which knows the latest registry, to the leader, if
+     * there is one. */
     void sendHostReports()
     {
         GroupDaemon *leaderDaemon = this->leader();
@@ -175,6 +176,10 @@
             report.holder = {HostId(daemon.address), daemon.run};
             report.sentAt = this->now;
             report.member = ControlCandidate{daemon.member.value, daemon.address};
+            if (const auto &leadership = leaderDaemon->control->leadership) {
+                report.registryEpoch = leadership->registry.epoch;
+                report.registry = leadership->registry.version;
+            }
             if (first) {
                 report.targets = this->targets;
                 report.variants = this->uses;
--- a/src/tests/fakes/fake_target.cpp
+++ b/src/tests/fakes/fake_target.cpp
@@ -42,6 +42,7 @@
     int diskLoadMs = 400;
     int memoryLoadMs = 100;
     int adapterLoadMs = 20;
+    std::size_t adapterSlots = 0; ///< Adapters that the engine can hold; 0: no limit.
     int warmupMs
         = 0; ///< Duration of the warm-up, in which a fourth concurrent request ends the process.
     bool checksFencing
@@ -209,6 +210,19 @@
     fake.changed = true;
 }
 
+/** @return Whether the engine has room for the variant of a load order. */
+bool hasRoom(const FakeTarget &fake, const Order &order)
+{
+    const bool isAdapter = !order.variant.adapter.value.empty();
+    std::size_t adapters = isAdapter ? 1 : 0;
+    for (const LoadedVariant &item : fake.announcement.loaded)
+        adapters += item.variant.adapter.value.empty() ? 0 : 1;
+    for (const auto &[variant, loading] : fake.loading)
+        adapters += variant.adapter.value.empty() ? 0 : 1;
+    const bool slotFree = fake.options.adapterSlots == 0 || adapters <= fake.options.adapterSlots;
+    return fake.usedMb + order.memoryMb <= fake.announcement.memoryMb && (!isAdapter || slotFree);
+}
+
 HttpReply handleOrder(FakeTarget &fake, const Order &order, const std::string &holder)
 {
     absl::MutexLock lock(&fake.mutex);
@@ -238,9 +252,11 @@
     if (found != announcement.loaded.end()
         || (fake.options.checksFencing && fake.loading.contains(order.variant)))
         return {200, "application/json", "{}"};
-    fake.usedMb += order.memoryMb;
-    if (fake.usedMb > announcement.memoryMb)
+    if (!hasRoom(fake, order)) {
         ++fake.overcommits;
+        return {409, "application/json", R"({"error":"no room"})"};
+    }
+    fake.usedMb += order.memoryMb;
     const std::int64_t ms = loadTimeMs(fake, order.variant);
     fake.loading[order.variant] = order;
     std::thread([&fake, order, ms]() {
@@ -598,14 +614,15 @@
         "announce-to", po::value(&o.announceTo)->multitoken())("preload",
                                                                po::value(&o.preload)->multitoken())(
         "cached", po::value(&o.cached)->multitoken())("memory-mb", po::value(&o.memoryMb))(
-        "concurrent", po::value(&o.concurrent))("token-ms", po::value(&o.tokenMs))(
-        "first-ms", po::value(&o.firstTokenMs))("service-ms", po::value(&o.serviceMs))(
-        "remote-load-ms", po::value(&o.remoteLoadMs))("disk-load-ms", po::value(&o.diskLoadMs))(
-        "warmup-ms", po::value(&o.warmupMs))("checks-fencing", po::bool_switch(&o.checksFencing))(
-        "separation-ms", po::value(&o.separationMs))("crash-word", po::value(&o.crashWord))(
-        "silent-word", po::value(&o.silentWord))("cross-word", po::value(&o.crossWord))(
-        "break-word", po::value(&o.breakWord))("fault-percent", po::value(&o.faultPercent))(
-        "seed", po::value(&o.seed));
+        "adapter-slots", po::value(&o.adapterSlots))("concurrent", po::value(&o.concurrent))(
+        "token-ms", po::value(&o.tokenMs))("first-ms", po::value(&o.firstTokenMs))(
+        "service-ms", po::value(&o.serviceMs))("remote-load-ms", po::value(&o.remoteLoadMs))(
+        "disk-load-ms", po::value(&o.diskLoadMs))("warmup-ms", po::value(&o.warmupMs))(
+        "checks-fencing", po::bool_switch(&o.checksFencing))("separation-ms",
+                                                             po::value(&o.separationMs))(
+        "crash-word", po::value(&o.crashWord))("silent-word", po::value(&o.silentWord))(
+        "cross-word", po::value(&o.crossWord))("break-word", po::value(&o.breakWord))(
+        "fault-percent", po::value(&o.faultPercent))("seed", po::value(&o.seed));
     po::variables_map values;
     try {
         po::store(po::parse_command_line(argc, argv, description), values);
--- a/src/tests/order_handover_test.cpp
+++ b/src/tests/order_handover_test.cpp
@@ -48,7 +48,7 @@
     void answerInspection(GroupDaemon &leader)
     {
         this->deliverEvent(leader,
-                           InspectionEvent{TARGET, Incarnation(1), TargetInspection{0, false}});
+                           InspectionEvent{TARGET, Incarnation(1), TargetInspection{0, false, {}}});
         this->deliverEvent(leader, ControlTickEvent{});
     }
 
@@ -56,8 +56,8 @@
     void answerAllInspections()
     {
         this->onInspection = [this](GroupDaemon &daemon, const InspectTarget &) {
-            this->deliverEvent(daemon,
-                               InspectionEvent{TARGET, Incarnation(1), TargetInspection{0, false}});
+            this->deliverEvent(
+                daemon, InspectionEvent{TARGET, Incarnation(1), TargetInspection{0, false, {}}});
         };
     }
 
--- a/src/tests/order_test.cpp
+++ b/src/tests/order_test.cpp
@@ -53,13 +53,13 @@
     void answer(const OutstandingOrder &order, OrderReply reply)
     {
         handleOrderReply(this->planner, replicaId(TARGET, order.order.variant), order.order.fencing,
-                         reply, this->now);
+                         reply, false, this->now);
     }
 
     void answerInspection(std::uint64_t accepted, bool busy = false)
     {
-        handleInspection(this->planner, TARGET, Incarnation(1), TargetInspection{accepted, busy},
-                         this->now);
+        handleInspection(this->planner, TARGET, Incarnation(1),
+                         TargetInspection{accepted, busy, {}}, this->now);
     }
 
     void decidePass()
@@ -207,7 +207,7 @@
     const auto answerUnsent = [&]() {
         const OutstandingOrder order = o.takeDueOrders().orders.at(0);
         return handleOrderReply(o.planner, replicaId(TARGET, order.order.variant),
-                                order.order.fencing, OrderReply::Unsent, o.now);
+                                order.order.fencing, OrderReply::Unsent, false, o.now);
     };
     cr_assert(answerUnsent().empty());
     cr_assert(answerUnsent().empty());
--- a/src/tests/placement_test.cpp
+++ b/src/tests/placement_test.cpp
@@ -138,7 +138,7 @@
     const auto orders = p.pass();
     cr_assert_eq(orders.size(), 1);
     const std::string id = replicaId(TargetId("t"), {ModelId("m"), {}});
-    handleOrderReply(p.planner, id, orders[0].order.fencing, OrderReply::Unknown, p.now);
+    handleOrderReply(p.planner, id, orders[0].order.fencing, OrderReply::Unknown, false, p.now);
     p.reportWaiting("m", 0);
     p.reportWaiting("n", 5);
     for (int i = 0; i < 50; ++i) {
@@ -151,7 +151,7 @@
     const auto undo = p.pass();
     cr_assert_eq(undo.size(), 1);
     cr_assert(undo[0].order.action == OrderAction::Unload);
-    handleOrderReply(p.planner, id, undo[0].order.fencing, OrderReply::Accepted, p.now);
+    handleOrderReply(p.planner, id, undo[0].order.fencing, OrderReply::Accepted, false, p.now);
     p.announceTarget(1, {}, undo[0].order.fencing);
     p.now += 1s;
     const auto next = p.pass();
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -153,6 +153,22 @@
         cr_assert_not(platform::readHeartbeat("i-1", invalid));
 }
 
+Test(platform, inspections_list_what_a_target_holds_and_is_loading)
+{
+    const auto report = platform::readInspection(
+        R"({"seqNo":3,"busy":false,"coming":["m/a2@1",7,"m"],
+        "models":[{"name":"m","version":1,"adapters":["a1"]},{"version":2}]})");
+    cr_assert(report && report->held);
+    cr_assert_eq(report->accepted, 3);
+    std::vector<std::string> held;
+    for (const LoadedVariant &item : *report->held)
+        held.push_back(item.variant.model.value + "/" + item.variant.adapter.value);
+    cr_assert_eq(held, (std::vector<std::string>{"m/", "m/a1", "m/a2"}));
+    const auto counted = platform::readInspection(R"({"seqNo":3,"busy":false})");
+    cr_assert(counted && !counted->held, "a report without models shows no inventory");
+    cr_assert_not(platform::readInspection(R"({"seqNo":-1,"busy":false})"));
+}
+
 Test(platform, configurations_are_decoded_and_invalid_ones_are_rejected)
 {
     std::string reason;
