Fix: [Host] Budget and slot come in one early report, and idle scarce slots go back

Change: the pause counts from the last early report, begins at 1 ms per 16 hosts and doubles while reports go on; requests that wait for budgets count as demand; where a target has fewer slots than there are hosts, a request asks at two targets, and a host holds only the slots that it uses.

--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -248,7 +248,7 @@
     bool earlyReportRequested = false; ///< Whether to send a report before @c reportDue.
     TimePoint lastEarlyReportAt; ///< Time of the last early report.
     Duration grantTimeout = MIN_GRANT_TIMEOUT; ///< Time until an unanswered report is sent again.
-    Duration earlyReportInterval{}; ///< Minimum time between any report and a following early one.
+    Duration earlyReportInterval{}; ///< Minimum time between two early reports.
     TimePoint resendDue; ///< Time of the next resend of unacknowledged messages.
     /** Time of the last message from a control host other than NotLeader, or of the last reconnect
      * after LINK_TIMEOUT. */
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -294,7 +294,7 @@
         return;
     const bool awaiting = host.awaitingGrant && now < host.reportSentAt + host.grantTimeout;
     const bool earlyReportDue
-        = host.earlyReportRequested && now >= host.reportSentAt + host.earlyReportInterval;
+        = host.earlyReportRequested && now >= host.lastEarlyReportAt + host.earlyReportInterval;
     if (!awaiting && (earlyReportDue || now >= host.reportDue)) {
         updateEarlyReportBackoff(host, now);
         sendReport(host, effects, now);
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -15,8 +15,10 @@
 constexpr Duration LOCAL_TARGET_TIMEOUT = 3s;
 constexpr Duration MIN_EARLY_REPORT_INTERVAL = 1ms; ///< First back-off between early reports.
 constexpr Duration MAX_EARLY_REPORT_INTERVAL = 40ms; ///< Maximum back-off between early reports.
-/** After this time without an early report, the back-off starts anew. */
+/** The back-off starts anew if no early report was due for this time after the last interval. */
 constexpr Duration EARLY_REPORT_BACKOFF_RESET = 200ms;
+/** Targets at which a waiting request wants a slot, if there are fewer slots than hosts. */
+constexpr std::size_t SCARCE_SLOT_CANDIDATES = 2;
 constexpr Duration ACCOUNT_IDLE_TIMEOUT = 60s; ///< An account unused for this long is not reported.
 constexpr double DEMAND_SMOOTHING = 0.3; ///< Weight of a new sample in the demand averages.
 constexpr double PREFETCH_INTERVALS = 2; ///< Budget held ahead, in report intervals of demand.
@@ -75,25 +77,71 @@
     }
 }
 
-/** @return Queued requests per target and account, spread evenly over the eligible targets. */
+/** Requests that wait for a slot, or for a budget and then a slot, by group and account. */
+using WaitingCounts = std::map<WorkGroup, std::map<AccountId, std::size_t>>;
+
+/**
+ * @return Counts of the waiting requests. Those that still wait for a budget are included, so that
+ * the leader grants budget and slot in one round trip.
+ */
+WaitingCounts countWaiting(const Host &host)
+{
+    WaitingCounts counts;
+    for (const FlowClass *flows : {&host.queue.interactive, &host.queue.bulk}) {
+        for (const auto &[account, flow] : flows->flows) {
+            for (const auto &[group, waiting] : flow.waiting)
+                counts[group][account] += waiting.size();
+        }
+    }
+    for (const auto &[account, held] : host.accounts) {
+        for (const RequestId id : held.waiting)
+            ++counts[host.requests.at(id).group][account];
+    }
+    return counts;
+}
+
+/** @return Whether the target has fewer slots than there are hosts, so that no host should hold a
+ * slot that it does not use. */
+bool hasScarceSlots(const Host &host, const KnownTarget &target)
+{
+    return target.limit > 0 && target.limit < host.hostCount;
+}
+
+/**
+ * @return The targets of @p open at which this host wants slots for @p waiting requests: all, or a
+ * few if slots are scarce. Hosts begin at different targets, and each report at another one.
+ */
+std::vector<TargetId> targetsToAsk(const Host &host, const std::vector<TargetId> &open,
+                                   std::size_t waiting)
+{
+    const bool scarce = std::all_of(open.begin(), open.end(), [&](const TargetId &id) {
+        return hasScarceSlots(host, host.targets.at(id));
+    });
+    const std::size_t count = waiting * SCARCE_SLOT_CANDIDATES;
+    if (!scarce || count >= open.size())
+        return open;
+    std::vector<TargetId> asked;
+    const std::size_t first = static_cast<std::size_t>(host.hostRank) + host.reportSequence;
+    for (std::size_t i = 0; i < count; ++i)
+        asked.push_back(open[(first + i) % open.size()]);
+    return asked;
+}
+
+/** @return Waiting requests per target and account, spread evenly over the eligible targets. */
 std::map<TargetId, std::map<AccountId, int>> distributeWaiting(const Host &host, TimePoint now)
 {
     std::map<TargetId, std::map<AccountId, int>> spread;
-    const auto addFlows = [&](const FlowClass &flows) {
-        for (const auto &[account, flow] : flows.flows) {
-            for (const auto &[group, waiting] : flow.waiting) {
-                const std::vector<TargetId> open = eligibleTargets(host, group, now);
-                if (open.empty())
-                    continue;
-                const auto each
-                    = static_cast<int>((waiting.size() + open.size() - 1) / open.size());
-                for (const TargetId &target : open)
-                    spread[target][account] += each;
-            }
+    for (const auto &[group, accounts] : countWaiting(host)) {
+        const std::vector<TargetId> open = eligibleTargets(host, group, now);
+        if (open.empty())
+            continue;
+        for (const auto &[account, waiting] : accounts) {
+            const std::vector<TargetId> asked = targetsToAsk(host, open, waiting);
+            const auto each = static_cast<int>((waiting + asked.size() - 1) / asked.size());
+            for (const TargetId &target : asked)
+                spread[target][account] += each;
         }
-    };
-    addFlows(host.queue.interactive);
-    addFlows(host.queue.bulk);
+    }
     return spread;
 }
 
@@ -128,7 +176,7 @@
 std::int64_t slotsToHold(const Host &host, const KnownTarget &target, TimePoint now)
 {
     const auto running = static_cast<std::int64_t>(target.running.size());
-    if (host.leaving)
+    if (host.leaving || hasScarceSlots(host, target))
         return running;
     const bool sameZone = target.announcement.zone == host.settings.zone;
     const bool open = !target.announcement.leaving && now >= target.health.ejectedUntil
@@ -251,11 +299,12 @@
 {
     if (now >= host.reportDue || !host.earlyReportRequested)
         return;
-    const bool again = now < host.lastEarlyReportAt + EARLY_REPORT_BACKOFF_RESET;
+    const bool again
+        = now < host.lastEarlyReportAt + host.earlyReportInterval + EARLY_REPORT_BACKOFF_RESET;
     const int scale = std::max(host.hostCount / SMALL_CLUSTER_HOSTS, 1);
     const Duration maxInterval = MAX_EARLY_REPORT_INTERVAL * scale;
     host.earlyReportInterval = again ? std::min<Duration>(2 * host.earlyReportInterval, maxInterval)
-                                     : MIN_EARLY_REPORT_INTERVAL * scale * scale;
+                                     : MIN_EARLY_REPORT_INTERVAL * scale;
     host.lastEarlyReportAt = now;
 }
 
--- /dev/null
+++ b/src/tests/many_hosts_test.cpp
@@ -0,0 +1,117 @@
+/** @file many_hosts_test.cpp Hundreds of hosts before few slots and small budgets. */
+#include "replay/decision_simulation_base.h"
+
+#include <algorithm>
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+constexpr int HOSTS = 195;
+constexpr int TARGETS = 6;
+constexpr int SLOTS = 6; ///< Slots of one target.
+constexpr int ACCOUNTS = 19;
+constexpr double REQUESTS_PER_SECOND = 65;
+constexpr Duration SERVICE_TIME = 30ms;
+constexpr Duration LATENCY_OBJECTIVE = 150ms;
+constexpr Duration WARM_UP = 3s; ///< Time until all hosts have the configuration.
+constexpr Duration PLAY = 10s;
+/** Limit for all hosts together; a report takes 0.2 ms of CPU time, and a control host may use 0.6
+ * cores. */
+constexpr double MAX_MESSAGES_PER_SECOND = 2 * 1'500;
+
+AccountId accountName(int number)
+{
+    return AccountId("a" + std::to_string(number));
+}
+
+FolderConfig makeFolder()
+{
+    FolderConfig folder;
+    for (int i = 0; i < ACCOUNTS; ++i) {
+        Account account;
+        account.id = accountName(i);
+        account.limitsRequests = false;
+        account.limitsTokens = true;
+        account.tokensPerSecond = account.tokenBurst = 30'000;
+        account.tokensOfPlainCall = 200;
+        folder.accounts[account.id] = account;
+    }
+    Route route;
+    route.id = RouteId("s");
+    route.path = "/s";
+    route.service = "s";
+    folder.routes[route.id] = route;
+    ServicePolicy policy;
+    policy.ramps = false;
+    folder.services["s"] = policy;
+    return folder;
+}
+
+SimulatedTarget makeTarget(int number)
+{
+    SimulatedTarget target;
+    target.announcement.id = TargetId("t" + std::to_string(number));
+    target.announcement.kind = TargetKind::Service;
+    target.announcement.service = "s";
+    target.announcement.zone = ZoneId("z" + std::to_string(number));
+    target.announcement.start = Incarnation(1);
+    target.announcement.maxConcurrent = SLOTS;
+    target.serviceTime = SERVICE_TIME;
+    return target;
+}
+
+/** Sends requests of random accounts to random hosts. @return Send times by host and request. */
+std::map<std::pair<int, RequestId>, TimePoint> sendRequests(DecisionSimulation &simulation)
+{
+    std::mt19937_64 random(7);
+    std::exponential_distribution<> gap(REQUESTS_PER_SECOND);
+    std::map<std::pair<int, RequestId>, TimePoint> sent;
+    const TimePoint from = simulation.now();
+    for (TimePoint at = from; at < from + PLAY; at += fromSeconds(gap(random))) {
+        const int host = std::uniform_int_distribution<>(0, HOSTS - 1)(random);
+        CallerRequest request;
+        const AccountId account
+            = accountName(std::uniform_int_distribution<>(0, ACCOUNTS - 1)(random));
+        request.key = DecisionSimulation::keyOf(account);
+        request.path = "/s";
+        request.byRoute = true;
+        request.body = digestOf({account.value});
+        request.timeLimit = 2500ms;
+        sent[{host, simulation.send(host, request, at)}] = at;
+    }
+    return sent;
+}
+
+} // namespace
+
+// Guards against calls of a plain service that wait for the leader longer than they run: with more
+// hosts than slots, most hosts hold neither a slot nor a budget of the account when a call arrives.
+Test(many_hosts, calls_of_a_service_with_fewer_slots_than_hosts_are_served_in_time, .timeout = 120)
+{
+    DecisionSimulation simulation(HOSTS, makeFolder(), 1);
+    for (int i = 0; i < TARGETS; ++i)
+        simulation.addTarget(makeTarget(i));
+    simulation.runUntil(simulation.now() + WARM_UP);
+    const auto sent = sendRequests(simulation);
+    const std::uint64_t messagesBefore = simulation.messages;
+    simulation.runUntil(simulation.now() + PLAY);
+    const double perSecond
+        = static_cast<double>(simulation.messages - messagesBefore) / toSeconds(PLAY);
+    simulation.runUntil(simulation.now() + 3s);
+    const auto inTime = std::count_if(sent.begin(), sent.end(), [&](const auto &item) {
+        const auto outcome = simulation.outcomes.find(item.first);
+        return outcome != simulation.outcomes.end() && outcome->second.answered
+            && outcome->second.at - item.second <= LATENCY_OBJECTIVE;
+    });
+    cr_log_info("%d of %d in time, %.0f messages/s", static_cast<int>(inTime),
+                static_cast<int>(sent.size()), perSecond);
+    cr_expect_geq(inTime, static_cast<std::ptrdiff_t>(sent.size() * 95 / 100), "%d of %d in time",
+                  static_cast<int>(inTime), static_cast<int>(sent.size()));
+    cr_expect_leq(perSecond, MAX_MESSAGES_PER_SECOND);
+    for (const auto &[id, target] : simulation.targets)
+        cr_expect_leq(target.maxRunning, 3 * SLOTS, "%s", id.value.c_str());
+}
