Fix: [Control] [Net] Hosts share a large change of the configuration

Only whole tables were shared: the leader read 1,184 records from the view and encoded them for each of 59 hosts, and again for each report that came in the meantime, since hosts repeat a report after 500 ms at most. Change: a partial delta of 100 records or more is made once, and encoded once, for all hosts whose version it covers, for at most 500 ms; what comes later follows with the next report, as for whole tables.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -125,6 +125,10 @@
     std::shared_ptr<const TableDelta>
         cachedFullTable; ///< Latest full delta, shared by hosts that have no table yet.
     TimePoint cachedFullTableAt; ///< Time at which @c cachedFullTable was made.
+    std::shared_ptr<const TableDelta>
+        sharedChanges; ///< Latest large partial delta, shared by hosts with a similar version.
+    Version sharedChangesSince; ///< Version that @c sharedChanges begins at.
+    TimePoint sharedChangesAt; ///< Time at which @c sharedChanges was made.
     std::map<AccountId, AccountPools> accounts;
     std::map<TargetId, TargetSlots> slots;
     std::map<HostId, HostEntry> hosts;
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -21,7 +21,7 @@
     = 10min; ///< Counted from the latest report on the request.
 constexpr Duration QUARANTINE_DURATION = 10min;
 constexpr std::size_t MAX_CRASH_RECORDS = 10'000;
-constexpr Duration FULL_TABLE_MAX_AGE
+constexpr Duration SHARED_TABLE_MAX_AGE
     = 500ms; ///< Well below the time that a change takes to be in force.
 constexpr std::size_t MAX_RECALLED_HOLDERS
     = 8; ///< Holders asked per recall; otherwise all hosts would answer at the same time.
@@ -232,6 +232,27 @@
     host.lastReportAt = now;
 }
 
+/**
+ * @return Changes of the table since @p known, which is not 0. A large change of the configuration
+ * reaches all hosts at the same time; these get the same copy, even if some already know a part of
+ * it. Later changes follow with the answers to their next reports.
+ */
+std::shared_ptr<const TableDelta> changesSince(Control &control, Version known, TimePoint now)
+{
+    Leadership &leadership = *control.leadership;
+    const bool covers = leadership.sharedChanges && leadership.sharedChangesSince <= known
+        && known < leadership.sharedChanges->version;
+    if (covers && now < leadership.sharedChangesAt + SHARED_TABLE_MAX_AGE)
+        return leadership.sharedChanges;
+    auto changes = std::make_shared<const TableDelta>(tableDeltaSince(control.cluster, known));
+    if (!changes->full && changes->records.size() >= MIN_SHARED_RECORDS) {
+        leadership.sharedChanges = changes;
+        leadership.sharedChangesSince = known;
+        leadership.sharedChangesAt = now;
+    }
+    return changes;
+}
+
 /**
  * @return Changes of the table since @p known. Hosts that start together all need the full table,
  * while decisions change its version many times a second. These hosts all get the same cached copy;
@@ -241,8 +262,8 @@
 {
     Leadership &leadership = *control.leadership;
     if (known.value != 0)
-        return std::make_shared<const TableDelta>(tableDeltaSince(control.cluster, known));
-    if (!leadership.cachedFullTable || now >= leadership.cachedFullTableAt + FULL_TABLE_MAX_AGE) {
+        return changesSince(control, known, now);
+    if (!leadership.cachedFullTable || now >= leadership.cachedFullTableAt + SHARED_TABLE_MAX_AGE) {
         leadership.cachedFullTable
             = std::make_shared<const TableDelta>(tableDeltaSince(control.cluster, known));
         leadership.cachedFullTableAt = now;
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -234,13 +234,22 @@
 
 /** @return @p table as CBOR, not MessagePack: the table has many record types and changes rarely.
  */
-std::string packTable(const TableDelta &table, EncodedTable &tableCache)
+std::string packTable(const std::shared_ptr<const TableDelta> &table, EncodedTable &tableCache)
 {
-    if (!table.full)
-        return encode(table);
-    if (tableCache.bytes.empty() || tableCache.version != table.version)
-        tableCache = {table.version, encode(table)};
-    return tableCache.bytes;
+    if (table->full) {
+        if (tableCache.bytes.empty() || tableCache.version != table->version) {
+            tableCache.version = table->version;
+            tableCache.bytes = encode(*table);
+        }
+        return tableCache.bytes;
+    }
+    if (table->records.size() < MIN_SHARED_RECORDS)
+        return encode(*table);
+    if (tableCache.changes != table) {
+        tableCache.changes = table;
+        tableCache.changesBytes = encode(*table);
+    }
+    return tableCache.changesBytes;
 }
 
 template <class T> Result<T> unpackValue(std::string_view bytes)
@@ -269,7 +278,7 @@
 
 std::string packGrant(const HostGrant &grant, EncodedTable &tableCache)
 {
-    const std::string table = grant.table ? packTable(*grant.table, tableCache) : std::string();
+    const std::string table = grant.table ? packTable(grant.table, tableCache) : std::string();
     return packValue(std::tie(grant, table));
 }
 
--- a/src/net/link_wire_func.h
+++ b/src/net/link_wire_func.h
@@ -20,16 +20,18 @@
 /** @return The report decoded from @p bytes, or Errc::Malformed. */
 Result<HostReport> unpackReport(std::string_view bytes);
 
-/** Cached encoding of a full table: after a change of leader, all hosts request the same table. */
+/** Cached encodings of tables that many hosts get at the same time. */
 struct EncodedTable
 {
-    Version version; ///< Version of the encoded table.
-    std::string bytes; ///< CBOR; empty if no full table has been encoded yet.
+    Version version; ///< Version of the encoded full table.
+    std::string bytes; ///< CBOR of a full table; empty if none has been encoded yet.
+    std::shared_ptr<const TableDelta> changes; ///< Latest large partial delta, or null.
+    std::string changesBytes; ///< CBOR of @c changes.
 };
 
 /**
- * @param tableCache Used if @p grant contains the full table of the cached version; a full table of
- * another version is encoded and replaces it.
+ * @param tableCache Used if @p grant contains the full table of the cached version or the cached
+ * delta; another full table or large delta is encoded and replaces it.
  * @return @p grant as MessagePack, encoded as in packReport().
  */
 std::string packGrant(const HostGrant &grant, EncodedTable &tableCache);
--- a/src/state/cluster_base.h
+++ b/src/state/cluster_base.h
@@ -49,4 +49,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TableDelta, version, full, records)
 
+/** A partial delta with at least this many records is made and encoded once for several hosts. */
+constexpr std::size_t MIN_SHARED_RECORDS = 100;
+
 } // namespace bilberry
--- a/src/tests/crowd_test.cpp
+++ b/src/tests/crowd_test.cpp
@@ -166,6 +166,40 @@
  * Guards against hosts that lose their lease because they ignore late grants: the leader is so busy
  * that each grant arrives 300 ms after the report.
  */
+// Guards against a leader that loses its leadership after a large change of the configuration: it
+// made and encoded the change for each host, and again for each report that it answered late.
+Test(crowd, hosts_share_a_large_change_of_the_configuration, .timeout = 60)
+{
+    constexpr std::size_t ROUTES = 1'000;
+    DecisionSimulation simulation(HOSTS, makeFolder(200), 1);
+    simulation.runUntil(simulation.now() + 3s);
+    std::set<std::shared_ptr<const TableDelta>> largeChanges;
+    std::uint64_t grants = 0;
+    simulation.onGrant = [&](const HostGrant &grant) {
+        if (grant.table && grant.table->records.size() >= ROUTES) {
+            largeChanges.insert(grant.table);
+            ++grants;
+        }
+        ++simulation.control.cluster.version.value; // Changes the table after each grant.
+    };
+    ReplaceConfig change;
+    change.number = Version(100);
+    change.document = "large";
+    change.config = makeFolder(200);
+    for (std::size_t i = 0; i < ROUTES; ++i) {
+        Route route = change.config.routes.begin()->second;
+        route.path = "/s" + std::to_string(i);
+        route.id = RouteId(route.path);
+        change.config.routes[route.id] = route;
+    }
+    simulation.sendOperatorRequest(0, change);
+    simulation.runUntil(simulation.now() + 2s);
+    cr_assert_geq(grants, HOSTS);
+    cr_assert_leq(largeChanges.size(), 5, "%zu copies in 2 s", largeChanges.size());
+    for (const SimulatedHost &item : simulation.hosts)
+        cr_assert_geq(item.host.view.routes.size(), ROUTES);
+}
+
 Test(crowd, hosts_keep_their_lease_if_the_leader_answers_late, .timeout = 60)
 {
     DecisionSimulation simulation(HOSTS, makeFolder(200), 1);
