--- a/src/bench/placement_replay.cpp
+++ b/src/bench/placement_replay.cpp
@@ -327,7 +327,8 @@
             beginLoad(replay, order.target, order.order.variant, order.order.fencing);
         else
             beginUnload(replay, id, order.order.fencing);
-        handleOrderReply(replay.planner, id, order.order.fencing, OrderReply::Accepted, false, replay.now);
+        handleOrderReply(replay.planner, id, order.order.fencing, OrderReply::Accepted, false,
+                         replay.now);
     }
 }
 
