Add: [Log] Parts of prompts and lost connections in the lines of attempts

Cause: for a target that is lost the logs named neither the parts of the prompts that it ran nor whether its connections were lost: an attempt that ended after a 200 wrote no line at all. No decision uses them yet.

--- a/src/core/ids_type.h
+++ b/src/core/ids_type.h
@@ -28,6 +28,8 @@
 using Version
     = StrongType<struct VersionTag, std::uint64_t>; ///< Version of a model, the configuration, the
                                                     ///< routing table or the target registry.
+using PromptPart
+    = StrongType<struct PromptPartTag, std::string>; ///< Part of a prompt that requests may share.
 using Digest = StrongType<struct DigestTag, std::string>; ///< SHA-256 in lower-case hexadecimal.
 
 /** A model, optionally with an adapter; the unit that requests name and targets serve. */
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -278,6 +278,14 @@
     return exchange ? exchange->forwarded.variant : "";
 }
 
+/** @return Shared parts of the request's prompt; empty if it has ended. */
+std::vector<PromptPart> HostRunner::promptPartsOf(RequestId request) const
+{
+    const auto it = this->host.requests.find(request);
+    return it != this->host.requests.end() ? it->second.asked.promptParts
+                                           : std::vector<PromptPart>();
+}
+
 void HostRunner::logDecisions(const HostEvent &event, const HostEffects &effects,
                               TimePoint now) const
 {
@@ -290,13 +298,15 @@
                               {"freshMs", (this->host.freshUntil - now).count() / 1000}};
     };
     if (const auto *ended = std::get_if<AttemptEnded>(&event);
-        ended && (ended->status != 200 || ended->bound != ResponseLimit::None))
+        ended
+        && (ended->status != 200 || ended->bound != ResponseLimit::None || ended->connectionLost))
         logEventRateLimited("attemptEnded",
                             {{"attempt", ended->attempt},
                              {"result", ended->result},
                              {"bound", ended->bound},
                              {"status", ended->status},
-                             {"events", ended->eventsRelayed}});
+                             {"events", ended->eventsRelayed},
+                             {"connectionLost", ended->connectionLost}});
     for (const HostEffect &effect : effects) {
         if (const auto *refusal = std::get_if<RefuseCaller>(&effect)) {
             nlohmann::json line = inputs(refusal->request);
@@ -310,6 +320,7 @@
             line["target"] = start->target;
             line["remainingMs"] = start->remaining.count() / 1000;
             line["resumeAfter"] = start->resumeAfter;
+            line["parts"] = this->promptPartsOf(start->request);
             logEventRateLimited("attemptStarted", std::move(line));
         }
     }
--- a/src/daemon/host_runner_base.h
+++ b/src/daemon/host_runner_base.h
@@ -110,6 +110,7 @@
     void handle(const HostEvent &event);
     std::string correlationIdOf(RequestId request) const;
     std::string variantOf(RequestId request) const;
+    std::vector<PromptPart> promptPartsOf(RequestId request) const;
     void logDecisions(const HostEvent &event, const HostEffects &effects, TimePoint now) const;
     void execute(HostEffect &effect);
     /**
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -9,6 +9,9 @@
 
 namespace bilberry {
 
+constexpr std::size_t MAX_PROMPT_PARTS = 16; ///< Maximum size of CallerRequest::promptParts.
+constexpr std::size_t MAX_PROMPT_PART_BYTES = 64; ///< Longer names are cut.
+
 /** API key as presented by a caller, with the secret hashed. */
 struct PresentedKey
 {
@@ -37,11 +40,13 @@
     bool streamed = false; ///< Whether the caller asked for a streamed response.
     std::optional<Duration> timeLimit; ///< Time limit set by the caller.
     std::string idempotencyKey; ///< Empty if the caller sent none.
+    /** Parts of the prompt that other requests may share, in their order. */
+    std::vector<PromptPart> promptParts;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallerRequest, request, key, path, virtualHost,
                                                 byRoute, variant, body, prefix, maxTokens,
                                                 declaredTokens, tag, streamed, timeLimit,
-                                                idempotencyKey)
+                                                idempotencyKey, promptParts)
 
 /** The caller closed the connection before the response was complete. */
 struct CallerDisconnected
--- a/src/net/caller_parse.cpp
+++ b/src/net/caller_parse.cpp
@@ -1,8 +1,10 @@
 /** @file caller_parse.cpp Parses a caller's HTTP request of the native interface into an event. */
 #include "net/native_edge_func.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <algorithm>
 
 namespace bilberry {
@@ -12,6 +14,7 @@
 /** Hashed part of the prompt; requests with the same prefix can share a target's cache. */
 constexpr std::size_t PREFIX_HASH_BYTES = 256;
 constexpr std::size_t MAX_IDEMPOTENCY_KEY_BYTES = 256;
+constexpr const char *PROMPT_PARTS_HEADER = "X-Prompt-Parts";
 constexpr std::int64_t MAX_TIME_LIMIT_MS = 3'600'000;
 constexpr std::int64_t MAX_TOKENS = 1'000'000; ///< Larger token limits are reduced to this.
 
@@ -53,6 +56,22 @@
     return std::stoull(hex, nullptr, 16);
 }
 
+/**
+ * Reads the caller's names of the parts of the prompt that other requests share, separated by
+ * commas. The key's id makes the names of different callers differ.
+ */
+void readPromptParts(const HeaderList &headers, CallerRequest &event)
+{
+    const std::string value = headerValue(headers, PROMPT_PARTS_HEADER);
+    const std::string owner = event.key ? event.key->id.value : "";
+    for (const absl::string_view item : absl::StrSplit(value, ',', absl::SkipWhitespace())) {
+        const absl::string_view name
+            = absl::StripAsciiWhitespace(item).substr(0, MAX_PROMPT_PART_BYTES);
+        if (event.promptParts.size() < MAX_PROMPT_PARTS)
+            event.promptParts.emplace_back(absl::StrCat(owner, "/", name));
+    }
+}
+
 /** Parses "model" or "model:adapter". */
 Variant variantOf(const std::string &name)
 {
@@ -149,6 +168,7 @@
         out.refusal = RefusalCode::KeyInBody;
         return out;
     }
+    readPromptParts(raw.headers, out.event);
     out.refusal = checkAge(headerValue(raw.headers, "Idempotency-Created"), unixSeconds);
     const bool wellFormed = readTimeLimit(headerValue(raw.headers, "X-Time-Limit-Ms"), out.event)
         && idempotencyKey.size() <= MAX_IDEMPOTENCY_KEY_BYTES
