Fix: [Quarantine] Parts of prompts that crash targets are found and refused

Cause: a suspect was the digest of a whole request, and none comes twice. Class of fault: evidence about a thing that does not repeat. Change: a request that is lost with its target before a response on it survived 300 ms is evidence against its parts. Hosts report such losses until the present leader has them, with ages, so a new leader starts from the same evidence; a response on the part that begins after the loss clears it. From two losses on, requests with the part run only as trials, one at a time over all hosts; two lost trials quarantine the part with the most losses, the later one of two that always come together. The verdict is a replicated quarantine of 10 minutes; waiting requests are refused at once (503, part_quarantined, not run, with the time left). Log lines requestLostUnanswered, partSuspected, partCleared, partTrial, partQuarantined; counters for the metrics. Why 503 and not 422 as for whole requests: the verdict is about other requests, and it ends.

--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -173,10 +173,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Replica, variant, target, start, fencing, state,
                                                 version, memoryMb)
 
-/** Identical requests that all hosts refuse because such requests crashed targets. */
+/** Requests that all hosts refuse because such requests crashed targets. */
 struct Quarantine
 {
-    Digest request; ///< Digest of the method, path and body of the requests.
+    /** Digest of the method, path and body of identical requests, or quarantineDigest() of a part
+     * of the prompt. */
+    Digest request;
     Duration until{}; ///< Cluster time at which the quarantine ends.
 
     friend bool operator==(const Quarantine &, const Quarantine &) = default;
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -7,6 +7,7 @@
 #include "account/leased_pool_base.h"
 #include "consensus/replica_base.h"
 #include "control/control_type.h"
+#include "quarantine/part_evidence_base.h"
 #include "state/cluster_base.h"
 #include "target/registry_base.h"
 #include "target/slot_ramp_type.h"
@@ -137,6 +138,7 @@
         joined; ///< Requests that wait for the outcome of a running call.
     std::map<Digest, CrashRecord> crashRecords;
     std::uint64_t suspectsVersion = 1; ///< Grows when a key of @c crashRecords is added or removed.
+    PartEvidence partEvidence;
     Planner planner;
     bool active = false; ///< Whether all entries of earlier leaders are applied.
     bool placementPending = false; ///< A placement decision is proposed and not yet applied.
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -33,7 +33,19 @@
 /** Records the slot use in a report and adds slot grants to @p grant. */
 void grantSlots(Control &control, const HostReport &report, HostGrant &grant, TimePoint now);
 
-/** Quarantines requests that repeatedly ran alone on targets that were lost. */
+/** Records which requests and parts of prompts ran on lost targets, for quarantineSuspects(). */
+void recordSuspicions(Leadership &leadership, const HostReport &report, ControlEffects &effects,
+                      TimePoint now);
+
+/** Adds the suspected requests and parts to a grant, if the host lacks them. */
+void addSuspects(const Leadership &leadership, const HostReport &report, HostGrant &grant);
+
+/** Grants the host trials of suspected parts, as far as no other host has one. */
+void grantTrials(Leadership &leadership, const HostReport &report, HostGrant &grant,
+                 ControlEffects &effects, TimePoint now);
+
+/** Quarantines requests and parts of prompts that repeatedly ran alone on targets that were lost.
+ */
 void quarantineSuspects(Control &control, ControlEffects &effects, TimePoint now);
 
 /** Handles an operator's request; the answer is sent at once or when the command is applied. */
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -14,13 +14,6 @@
 
 namespace {
 
-constexpr std::size_t QUARANTINE_MIN_LOSSES
-    = 2; ///< A request is quarantined if it was the only suspect on this many lost targets.
-constexpr Duration QUARANTINE_DELAY = 300ms; ///< Time for other hosts to report the same loss.
-constexpr Duration CRASH_RECORD_RETENTION
-    = 10min; ///< Counted from the latest report on the request.
-constexpr Duration QUARANTINE_DURATION = 10min;
-constexpr std::size_t MAX_CRASH_RECORDS = 10'000;
 constexpr Duration SHARED_TABLE_MAX_AGE
     = 500ms; ///< Well below the time that a change takes to be in force.
 constexpr std::size_t MAX_RECALLED_HOLDERS
@@ -92,39 +85,6 @@
     }
 }
 
-/** Records which requests ran on lost targets, for quarantineSuspects(). */
-void recordSuspicions(Leadership &leadership, const HostReport &report, TimePoint now)
-{
-    for (const Digest &cleared : report.cleared)
-        leadership.suspectsVersion += leadership.crashRecords.erase(cleared);
-    for (const CrashSuspicion &suspicion : report.suspicions) {
-        if (leadership.crashRecords.size() >= MAX_CRASH_RECORDS)
-            return;
-        const auto [it, added] = leadership.crashRecords.try_emplace(suspicion.request);
-        leadership.suspectsVersion += added ? 1 : 0;
-        CrashRecord &record = it->second;
-        bool &alone = record.targets[{suspicion.target, suspicion.start}];
-        alone = alone || suspicion.alone;
-        record.lastReportedAt = now;
-    }
-}
-
-/** @return Number of lost targets on which @p record is the only suspect that ran alone. */
-std::size_t countUnambiguousLosses(const Leadership &leadership, const CrashRecord &record)
-{
-    const auto count
-        = std::count_if(record.targets.begin(), record.targets.end(), [&](const auto &item) {
-              const auto suspects
-                  = std::count_if(leadership.crashRecords.begin(), leadership.crashRecords.end(),
-                                  [&](const auto &other) {
-                                      const auto same = other.second.targets.find(item.first);
-                                      return same != other.second.targets.end() && same->second;
-                                  });
-              return item.second && suspects == 1;
-          });
-    return static_cast<std::size_t>(count);
-}
-
 /** @return Configured load time of the replica's model; 0 if the model is not configured. */
 Duration loadTime(const Control &control, const Replica &replica)
 {
@@ -290,11 +250,7 @@
             announcement.failing = leadership.registry.targets.at(announcement.id).failing;
         }
     }
-    grant.suspectsVersion = leadership.suspectsVersion;
-    if (report.term != leadership.term || report.suspectsVersion != leadership.suspectsVersion) {
-        for (const auto &[request, record] : leadership.crashRecords)
-            grant.suspects.push_back(request);
-    }
+    addSuspects(leadership, report, grant);
     grant.membershipIndex = control.replica.membershipIndex;
     if (report.membershipIndex != control.replica.membershipIndex) {
         for (const auto &[member, address] : control.replica.membership.addresses)
@@ -367,26 +323,6 @@
 
 } // namespace
 
-void quarantineSuspects(Control &control, ControlEffects &effects, TimePoint now)
-{
-    Leadership &leadership = *control.leadership;
-    leadership.suspectsVersion += std::erase_if(leadership.crashRecords, [&](const auto &item) {
-        return now - item.second.lastReportedAt > CRASH_RECORD_RETENTION;
-    });
-    std::vector<Digest> toQuarantine;
-    for (const auto &[request, record] : leadership.crashRecords) {
-        if (now - record.lastReportedAt < QUARANTINE_DELAY)
-            continue;
-        if (countUnambiguousLosses(leadership, record) >= QUARANTINE_MIN_LOSSES)
-            toQuarantine.push_back(request);
-    }
-    for (const Digest &request : toQuarantine) {
-        leadership.suspectsVersion += leadership.crashRecords.erase(request);
-        const Quarantine quarantine{request, clusterTime(control, now) + QUARANTINE_DURATION};
-        (void)proposeCommand(control, SetQuarantine{quarantine}, {}, effects, now);
-    }
-}
-
 void onHostReport(Control &control, const HostReport &report, ControlEffects &effects,
                   TimePoint now)
 {
@@ -402,11 +338,12 @@
     grant.clock = clusterTime(control, now);
     updateTargets(control, report, grant, effects, now);
     recordVariantUses(leadership.planner, report.holder.host, report.variants, now);
-    recordSuspicions(leadership, report, now);
+    recordSuspicions(leadership, report, effects, now);
     grantAccounts(control, report, grant, now);
     recallBudgets(control, report, effects, now);
     grantSlots(control, report, grant, now);
     addDeltas(control, report, grant, now);
+    grantTrials(leadership, report, grant, effects, now);
     addHostCount(leadership, report.holder.host, grant, now);
     effects.toHosts.push_back({report.holder, std::move(grant)});
 }
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -64,6 +64,8 @@
     appendCounter(out, "calls_replayed_total", "", "", counters.callsReplayed);
     appendCounter(out, "calls_joined_total", "", "", counters.callsJoined);
     appendCounter(out, "callers_gone_total", "", "", counters.callerGone);
+    appendCounter(out, "lost_unanswered_total", "", "", counters.lostUnanswered);
+    appendCounter(out, "part_trials_total", "", "", counters.trials);
     for (const auto &[type, count] : counters.refusals)
         appendCounter(out, "refusals_total", "type", type, count);
     for (const auto &[result, count] : counters.attempts)
@@ -73,6 +75,8 @@
     appendHistogram(out, "wait_seconds", counters.waits);
     appendHistogram(out, "answer_seconds", counters.answers);
     appendHistogram(out, "refusal_seconds", counters.refusalTimes);
+    appendCounter(out, "suspected_parts", "", "", host.suspectedParts.size());
+    appendCounter(out, "quarantines", "", "", host.view.quarantines.size());
     appendCounter(out, "open_requests", "", "", host.requests.size());
     appendCounter(out, "known_targets", "", "", host.targets.size());
     appendCounter(out, "table_version", "", "", host.table.value);
@@ -116,7 +120,7 @@
     HostRunner *self = runner.get();
     runner->targets = std::make_unique<TargetClient>(
         runner->exchanges, edge, settings.host.value,
-        [self](AttemptEnded &&ended) { self->tasks.push(Task(HostEvent(std::move(ended)))); },
+        [self](HostEvent &&event) { self->tasks.push(Task(std::move(event))); },
         std::move(onControlEvent));
     if (settings.entry) {
         BOOST_OUTCOME_TRY(
@@ -297,8 +301,7 @@
                               {"registry", this->host.registry},
                               {"freshMs", (this->host.freshUntil - now).count() / 1000}};
     };
-    if (const auto *ended = std::get_if<AttemptEnded>(&event);
-        ended
+    if (const auto *ended = std::get_if<AttemptEnded>(&event); ended
         && (ended->status != 200 || ended->bound != ResponseLimit::None || ended->connectionLost))
         logEventRateLimited("attemptEnded",
                             {{"attempt", ended->attempt},
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -194,6 +194,8 @@
                                                         : checkRoute(host, check, now);
     if (!check.refusal && isQuarantined(host, asked.body, now))
         check.refusal = RefusalCode::Quarantined;
+    if (!check.refusal && partQuarantineLeft(host, asked, now))
+        check.refusal = RefusalCode::PartQuarantined;
     if (!check.refusal && host.requests.size() >= host.settings.maxWaiting)
         check.refusal = RefusalCode::Overloaded;
     return check;
@@ -246,6 +248,16 @@
     }
 }
 
+/** @return Delay before the caller should send a request again that was refused on arrival. */
+std::optional<Duration> retryAfter(const Host &host, const CallerRequest &asked,
+                                   RefusalCode refusal, TimePoint now)
+{
+    if (refusal == RefusalCode::Overloaded)
+        return 1s;
+    return refusal == RefusalCode::PartQuarantined ? partQuarantineLeft(host, asked, now)
+                                                   : std::nullopt;
+}
+
 } // namespace
 
 void onCallerRequest(Host &host, const CallerRequest &asked, HostEffects &effects, TimePoint now)
@@ -253,10 +265,9 @@
     ++host.counters.requests;
     AdmissionCheck check = checkRequest(host, asked, now);
     if (check.refusal) {
-        const bool retry = *check.refusal == RefusalCode::Overloaded;
         ++host.counters.refusals[refusalResponseOf(*check.refusal).type];
         effects.push_back(RefuseCaller{asked.request, *check.refusal, Execution::NotRun,
-                                       retry ? std::optional<Duration>(1s) : std::nullopt});
+                                       retryAfter(host, asked, *check.refusal, now)});
         return;
     }
     addRetryCredit(host.retries[check.request.group.service], host.settings.retryShare,
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -128,6 +128,7 @@
     target.running.insert(request.asked.request);
     request.attempt = AttemptId(++host.lastAttempt);
     host.attempts[request.attempt] = request.asked.request;
+    beginTrial(host, request, now);
     StartAttempt start;
     start.attempt = request.attempt;
     start.request = request.asked.request;
@@ -141,6 +142,7 @@
     start.freshConnection = true;
     start.correlation = request.correlation;
     start.resumeAfter = ended.eventsRelayed;
+    start.reportBegin = !request.asked.promptParts.empty();
     effects.push_back(start);
 }
 
@@ -179,6 +181,7 @@
     ++host.counters.answered;
     recordDuration(host.counters.answers, now - request.arrived);
     recordServiceTime(host, request, ended, now);
+    recordResponse(host, request, now);
     if (host.suspects.erase(request.asked.body) > 0)
         host.cleared.push_back(request.asked.body);
     if (request.recordOwned)
@@ -209,6 +212,8 @@
     host.attempts.erase(attempt);
     Request &request = host.requests.at(id);
     recordTargetOutcome(host, request, ended, effects, now);
+    if (ended.result == AttemptResult::Lost && ended.connectionLost)
+        recordLostRequest(host, request, now);
     request.eventsRelayed = std::max(request.eventsRelayed, ended.eventsRelayed);
     const bool didNotRun
         = ended.result == AttemptResult::Refused || ended.result == AttemptResult::NotSent;
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -136,13 +136,16 @@
     const auto serving = host.targetsByGroup.find(request.group);
     if (serving == host.targetsByGroup.end())
         return candidates;
+    if (!mayDispatchSuspectedParts(host, request, now))
+        return candidates;
     const auto hinted = host.prefixHints.find(request.asked.prefix);
     for (const TargetId &id : serving->second) {
         KnownTarget &target = host.targets.at(id);
         if (now >= target.slots.expires && target.freeSlots() > 0)
             target.slots.returned += target.freeSlots(); // The leader has taken expired slots back.
         if (!isEligible(host, target, request.group, now) || !hasSlot(host, target, request)
-            || !mayDispatchInWarmup(host, target, now) || !isolatesSuspects(host, target, request))
+            || !mayDispatchInWarmup(host, target, now) || !isolatesSuspects(host, target, request)
+            || !isolatesTrials(host, target, request, now))
             continue;
         RoutingCandidate candidate;
         candidate.target = id;
@@ -187,7 +190,8 @@
     statistics.lastDispatch = now;
 }
 
-/** Checks key and deadline again before a dispatch. @return False if the request was refused. */
+/** Checks key, quarantines and deadline again before a dispatch. @return False if the request was
+ * refused. */
 bool revalidate(Host &host, const Request &request, HostEffects &effects, TimePoint now)
 {
     const RequestId id = request.asked.request;
@@ -199,6 +203,10 @@
             return false;
         }
     }
+    if (const std::optional<Duration> left = partQuarantineLeft(host, request.asked, now)) {
+        refuse(host, id, RefusalCode::PartQuarantined, effects, now, *left);
+        return false;
+    }
     // A request that cannot end in time would take a slot from requests that can.
     const GroupStatistics &statistics = host.groups[request.group];
     if (now + fromSeconds(statistics.serviceSeconds) > request.deadline - REFUSAL_MARGIN) {
@@ -208,6 +216,16 @@
     return true;
 }
 
+/** @return Index of the candidate with the fewest running requests of this host, so that a trial
+ * that crashes its target breaks few others. */
+std::size_t leastBusyCandidate(const std::vector<RoutingCandidate> &candidates)
+{
+    const auto least = std::min_element(
+        candidates.begin(), candidates.end(),
+        [](const RoutingCandidate &a, const RoutingCandidate &b) { return a.running < b.running; });
+    return static_cast<std::size_t>(least - candidates.begin());
+}
+
 /** Dispatches a request to a target. */
 void startAttempt(Host &host, Request &request, const TargetId &targetId, HostEffects &effects,
                   TimePoint now)
@@ -234,6 +252,7 @@
     if (now < target.coldUntil)
         target.coldStartDue = now + warmupDispatchInterval(host, target);
     request.suspected = request.suspected || host.suspects.contains(request.asked.body);
+    beginTrial(host, request, now);
     host.waitDeadlines.erase({request.waitUntil, id});
     updateDispatchGap(host.groups[request.group], countQueued(host.queue, request.group) > 0, now);
     StartAttempt start;
@@ -252,6 +271,7 @@
     start.correlation = request.correlation;
     start.resumeAfter = request.eventsRelayed;
     start.account = request.account;
+    start.reportBegin = !request.asked.promptParts.empty();
     start.holdFailures
         = request.repeatable && request.runs + 1 < request.mostRuns && request.asked.byRoute;
     effects.push_back(start);
@@ -334,7 +354,7 @@
             return false;
         const Request &request = host.requests.at(id);
         const bool free = !candidatesFor(host, request, now).empty();
-        if (!free && !request.suspected)
+        if (!free && !request.suspected && !needsTrial(host, request))
             blocked[{group, workClass}] = true;
         return free;
     };
@@ -344,7 +364,9 @@
             continue;
         const std::vector<RoutingCandidate> candidates = candidatesFor(host, request, now);
         assert(!candidates.empty());
-        const std::size_t choice = chooseCandidate(candidates, request.asked.prefix);
+        const std::size_t choice = needsTrial(host, request)
+            ? leastBusyCandidate(candidates)
+            : chooseCandidate(candidates, request.asked.prefix);
         startAttempt(host, request, candidates[choice].target, effects, now);
     }
     if (!host.queue.groupCounts.empty())
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -100,6 +100,8 @@
         host.settings.member = named->member;
     else if (const auto *left = std::get_if<TargetShuttingDown>(&event))
         onTargetShuttingDown(host, left->target);
+    else if (const auto *began = std::get_if<ResponseBegan>(&event))
+        onResponseBegan(host, began->attempt, now);
     refuseExpired(host, effects, now);
     dispatchAll(host, effects, now);
     if (std::holds_alternative<TickEvent>(event)) {
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -86,6 +86,11 @@
     bool callerGone = false;
     std::int64_t eventsRelayed = 0; ///< Stream events relayed to the caller so far.
     bool suspected = false; ///< A target was lost while running a request with the same digest.
+    TimePoint begunAt; ///< Time at which the response of the latest attempt began; epoch: not yet.
+    /** Whether Host::answeredParts includes the response of the latest attempt. */
+    bool beginCounted = false;
+    /** Until then the request may be dispatched with restricted parts; epoch: it has no trial. */
+    TimePoint trialUntil;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Request, asked, account, group, workClass,
                                                 repeatable, recorded, recordOwned, state, estimate,
@@ -93,7 +98,16 @@
                                                 dispatchedAt, attempt, correlation, target,
                                                 targetStart, attempts, runs, mostRuns, resumable,
                                                 tried, maySent, callerGone, eventsRelayed,
-                                                suspected)
+                                                suspected, begunAt, beginCounted, trialUntil)
+
+/** A lost request that the leader's present suspicions may rest on. */
+struct HeldLoss
+{
+    LostRequest lost;
+    TimePoint lostAt;
+    std::uint64_t reportedIn = 0; ///< Sequence number of the latest report with the loss.
+    std::uint64_t knownToTerm = 0; ///< Term of the latest leader that has the loss.
+};
 
 /** Budgets of one account that the leader has granted to this host. */
 struct AccountLease
@@ -185,6 +199,8 @@
     std::uint64_t callsReplayed = 0; ///< Recorded calls for which a stored response was found.
     std::uint64_t callsJoined = 0; ///< Requests that waited for the outcome of another one.
     std::uint64_t callerGone = 0; ///< Requests whose caller disconnected.
+    std::uint64_t lostUnanswered = 0; ///< Requests lost with a target that had not begun to answer.
+    std::uint64_t trials = 0; ///< Requests dispatched as trials of restricted parts.
     std::map<std::string, std::uint64_t> refusals; ///< Refused requests by refusal type.
     std::map<std::string, std::uint64_t> attempts; ///< Ended attempts by result.
     std::map<std::string, std::uint64_t> bounds; ///< Exceeded response limits by name.
@@ -194,8 +210,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostCounters, requests, answered, retries, resumed,
                                                 reports, callsReplayed, callsJoined, callerGone,
-                                                refusals, attempts, bounds, waits, answers,
-                                                refusalTimes)
+                                                lostUnanswered, trials, refusals, attempts, bounds,
+                                                waits, answers, refusalTimes)
 
 /** Complete state of one host's decision logic. */
 struct Host
@@ -232,6 +248,12 @@
     std::set<Digest> suspects; ///< Digests of requests that ran on lost targets, at any host.
     std::uint64_t suspectsVersion = 0; ///< Version of the leader's list of suspects.
 
+    std::map<PromptPart, bool> suspectedParts; ///< The leader's list; true: restricted.
+    std::map<PromptPart, TimePoint> trials; ///< Trials granted to this host, and their expiry.
+    std::deque<HeldLoss> heldLosses; ///< Oldest first; bounded in number and age.
+    /** Time of the latest response on each part that began without losing its target; bounded. */
+    std::map<PromptPart, TimePoint> answeredParts;
+
     std::map<TargetId, LocalTarget> localTargets; ///< Targets that send announcements to this host.
     std::map<RequestId, CallReport> callReports; ///< Reports not acknowledged by the leader yet.
     /** Operator requests that the leader has not answered yet. */
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -53,6 +53,40 @@
 // Attempts.
 void onAttemptEnded(Host &host, const AttemptEnded &ended, HostEffects &effects, TimePoint now);
 
+// Parts of prompts that may crash targets.
+/** Notes when the response of a running attempt began. */
+void onResponseBegan(Host &host, AttemptId attempt, TimePoint now);
+/** Clears the parts of a request that a target has answered. */
+void recordResponse(Host &host, Request &request, TimePoint now);
+/** Keeps the parts of a request that was lost with its target as evidence, unless the target had
+ * begun the response. */
+void recordLostRequest(Host &host, Request &request, TimePoint now);
+/** Adds the evidence that the leader lacks and the wanted trials to a report. */
+void reportCrashEvidence(Host &host, HostReport &report, TimePoint now);
+/**
+ * Applies the answer to the latest report.
+ * @param changed Whether the grant contains a new list of suspected parts.
+ */
+void applySuspicions(Host &host, const HostGrant &grant, bool changed);
+/** @return Whether the request has a restricted part. */
+bool needsTrial(const Host &host, const Request &request);
+/** @return Whether the request has no restricted part, or this host has a trial for each. */
+bool mayDispatchSuspectedParts(const Host &host, const Request &request, TimePoint now);
+/**
+ * @return False if the request needs a trial and the target has not begun to answer another trial
+ * of this host. Trials run apart from each other, so that a loss tells which one caused it.
+ */
+bool isolatesTrials(const Host &host, const KnownTarget &target, const Request &request,
+                    TimePoint now);
+/** Prepares the request for a new attempt; uses up the trials of its restricted parts. */
+void beginTrial(Host &host, Request &request, TimePoint now);
+/** @return Time until the end of the quarantine of a part of the request; nullopt if none is
+ * quarantined. */
+std::optional<Duration> partQuarantineLeft(const Host &host, const CallerRequest &asked,
+                                           TimePoint now);
+/** Refuses waiting requests with a quarantined part. */
+void refuseQuarantinedParts(Host &host, HostEffects &effects, TimePoint now);
+
 // Recorded calls: not repeatable, with an idempotency key.
 void onCallAnswer(Host &host, const CallAnswer &answer, HostEffects &effects, TimePoint now);
 /**
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -113,6 +113,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AttemptEnded, attempt, result, bound, status,
                                                 tokens, eventsRelayed, connectionLost, answer)
 
+/** The first event of a streamed response was relayed; the attempt goes on. */
+struct ResponseBegan
+{
+    AttemptId attempt;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ResponseBegan, attempt)
+
 /** A message from a control host was received. */
 struct ControlMessageEvent
 {
@@ -188,7 +195,7 @@
 using HostEvent
     = std::variant<CallerRequest, CallerDisconnected, AttemptEnded, ControlMessageEvent,
                    ControlLinkEvent, TargetAnnounced, CacheHint, OperatorRequest, TickEvent,
-                   ShutdownEvent, ControlMemberIdentified, TargetShuttingDown>;
+                   ShutdownEvent, ControlMemberIdentified, TargetShuttingDown, ResponseBegan>;
 
 /** Whether a target may have run a refused request. */
 enum class Execution {
@@ -240,11 +247,13 @@
     std::int64_t resumeAfter = 0; ///< Number of stream events that were already relayed.
     AccountId account; ///< Client account of the request; empty on open routes.
     bool holdFailures = false; ///< Server errors are withheld from the caller, for a retry.
+    bool reportBegin = false; ///< ResponseBegan is to be reported.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
                                                 remaining, deadline, sendBy, firstByteLimit,
                                                 interByteLimit, freshConnection, keepAnswer,
-                                                correlation, resumeAfter, account, holdFailures)
+                                                correlation, resumeAfter, account, holdFailures,
+                                                reportBegin)
 
 /** Cancels a running attempt; its AttemptEnded still follows. */
 struct CancelAttempt
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -176,13 +176,17 @@
         if (local != host.localTargets.end())
             local->second.changed = true;
     }
-    if (!sameTerm || host.suspectsVersion != grant.suspectsVersion)
+    const bool suspectsChanged = !sameTerm || host.suspectsVersion != grant.suspectsVersion;
+    if (suspectsChanged)
         host.suspects = {grant.suspects.begin(), grant.suspects.end()};
     host.suspectsVersion = grant.suspectsVersion;
+    applySuspicions(host, grant, suspectsChanged);
     host.clock = grant.clock;
     host.clockAt = now;
     host.hostCount = std::max(grant.hostCount, 1);
     host.hostRank = grant.hostRank;
+    if (grant.table && !host.view.quarantines.empty())
+        refuseQuarantinedParts(host, effects, now);
     if (grant.membershipIndex != host.membershipIndex && !grant.controlHosts.empty()) {
         host.membershipIndex = grant.membershipIndex;
         effects.push_back(SwitchControlHost{"", grant.controlHosts});
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -335,6 +335,7 @@
     reportLocalTargets(host, report, now);
     report.suspicions = std::move(host.suspicions);
     report.cleared = std::move(host.cleared);
+    reportCrashEvidence(host, report, now);
     report.targetsLeft = std::move(host.targetsLeft);
     host.targetsLeft.clear();
     host.suspicions.clear();
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -3,6 +3,7 @@
 
 #include "account/leased_pool_base.h"
 #include "call/call_type.h"
+#include "quarantine/crash_type.h"
 #include "state/cluster_base.h"
 #include "target/registry_base.h"
 
@@ -118,12 +119,16 @@
     std::vector<TargetId> targetsLeft; ///< Targets that announced their shutdown.
     std::vector<CrashSuspicion> suspicions;
     std::vector<Digest> cleared; ///< Suspected requests that completed.
+    std::vector<LostRequest> lostRequests; ///< Losses that the leader has not acknowledged.
+    std::vector<AnsweredPart> answeredParts; ///< Latest responses on suspected parts.
+    std::vector<PromptPart> trialsWanted; ///< Restricted parts of queued requests.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostReport, holder, zone, sequence, sentAt, term,
                                                 table, registryEpoch, registry, membershipIndex,
                                                 suspectsVersion, leaving, entry, member, accounts,
                                                 slots, variants, targets, alive, targetsLeft,
-                                                suspicions, cleared)
+                                                suspicions, cleared, lostRequests, answeredParts,
+                                                trialsWanted)
 
 /** Asks the leader to record a call before its dispatch, or for the outcome of a recorded call. */
 struct CallQuery
@@ -225,18 +230,21 @@
     std::uint64_t membershipIndex = 0; ///< Log index of the current membership.
     std::vector<std::string> controlHosts; ///< Addresses, if those known to the host are outdated.
     Duration clock{}; ///< Cluster time.
-    std::uint64_t suspectsVersion = 0; ///< Current version of HostGrant::suspects.
-    /** Digests of requests that ran on lost targets; set if the version or the term differs. */
-    std::vector<Digest> suspects;
+    /** Current version of HostGrant::suspects and HostGrant::suspectedParts; these are set if the
+     * version or the term differs from the host's. */
+    std::uint64_t suspectsVersion = 0;
+    std::vector<Digest> suspects; ///< Digests of requests that ran on lost targets.
     /** Targets reported in HostReport::alive whose full announcement the leader lacks. */
     std::vector<TargetId> unknownTargets;
     int hostCount = 1; ///< Number of live hosts that accept requests of callers.
     int hostRank = 0; ///< Rank of the receiver among those hosts, from 0.
+    std::vector<SuspectedPart> suspectedParts; ///< Parts of prompts that may crash targets.
+    std::vector<PromptPart> trials; ///< Parts with which the host may dispatch one request each.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostGrant, sequence, sentAt, term, table, registry,
                                                 accounts, slots, membershipIndex, controlHosts,
                                                 clock, suspectsVersion, suspects, unknownTargets,
-                                                hostCount, hostRank)
+                                                hostCount, hostRank, suspectedParts, trials)
 
 /** Answer to CallQuery: verdict on a call, or the outcome of a call that the request joined. */
 struct CallAnswer
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -82,6 +82,21 @@
 {
     static auto of(auto &v) { return std::tie(v.request, v.target, v.start, v.alone); }
 };
+template <> struct Fields<LostRequest>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.request, v.target, v.start, v.age, v.parts, v.trial);
+    }
+};
+template <> struct Fields<AnsweredPart>
+{
+    static auto of(auto &v) { return std::tie(v.part, v.age); }
+};
+template <> struct Fields<SuspectedPart>
+{
+    static auto of(auto &v) { return std::tie(v.part, v.restricted); }
+};
 template <> struct Fields<ControlCandidate>
 {
     static auto of(auto &v) { return std::tie(v.member, v.address); }
@@ -93,7 +108,8 @@
         return std::tie(v.holder, v.zone, v.sequence, v.sentAt, v.term, v.table, v.registryEpoch,
                         v.registry, v.membershipIndex, v.suspectsVersion, v.leaving, v.entry,
                         v.member, v.accounts, v.slots, v.variants, v.targets, v.alive,
-                        v.targetsLeft, v.suspicions, v.cleared);
+                        v.targetsLeft, v.suspicions, v.cleared, v.lostRequests, v.answeredParts,
+                        v.trialsWanted);
     }
 };
 template <> struct Fields<RegistryDelta>
@@ -117,7 +133,7 @@
     {
         return std::tie(v.sequence, v.sentAt, v.term, v.registry, v.accounts, v.slots,
                         v.membershipIndex, v.controlHosts, v.clock, v.suspectsVersion, v.suspects,
-                        v.unknownTargets, v.hostCount, v.hostRank);
+                        v.unknownTargets, v.hostCount, v.hostRank, v.suspectedParts, v.trials);
     }
 };
 
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -144,11 +144,11 @@
 {
 public:
     Impl(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
-         OnAttemptEnded onAttemptEnded, OnControlEvent onControlEvent)
+         OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent)
         : exchanges(std::move(exchanges))
         , edge(edge)
         , holder(std::move(holder))
-        , onAttemptEnded(std::move(onAttemptEnded))
+        , onAttemptEvent(std::move(onAttemptEvent))
         , onControlEvent(std::move(onControlEvent))
         , taskQueue(TASK_QUEUE_CAPACITY)
         , multi(curl_multi_init())
@@ -207,12 +207,14 @@
             AttemptEnded ended;
             ended.attempt = attempt.attempt;
             ended.result = AttemptResult::NotSent;
-            this->onAttemptEnded(std::move(ended));
+            this->onAttemptEvent(std::move(ended));
             return;
         }
         auto transfer = std::make_unique<Transfer>(attempt, std::move(exchange), this->edge, now);
         const AttemptId id = attempt.attempt;
         transfer->onBufferSpace = [this, id]() { this->taskQueue.push(Unpause{id}); };
+        if (attempt.reportBegin)
+            transfer->onBegan = [this, id]() { this->onAttemptEvent(ResponseBegan{id}); };
         const auto retired = this->retiredAt.find(attempt.address);
         if (retired != this->retiredAt.end())
             transfer->limitConnectionIdleTime(
@@ -336,7 +338,7 @@
         curl_multi_remove_handle(this->multi, it->second->handle());
         AttemptEnded ended = it->second->conclude(code, stalled, cancelled);
         this->transfers.erase(it);
-        this->onAttemptEnded(std::move(ended));
+        this->onAttemptEvent(std::move(ended));
     }
 
     void concludeControl(std::map<CURL *, std::unique_ptr<ControlTransfer>>::iterator it,
@@ -400,7 +402,7 @@
     std::shared_ptr<ExchangeTable> exchanges;
     const Edge &edge;
     const std::string holder;
-    OnAttemptEnded onAttemptEnded;
+    OnAttemptEvent onAttemptEvent;
     OnControlEvent onControlEvent;
     BoundedQueue<Task> taskQueue;
     CURLM *multi;
@@ -412,10 +414,10 @@
 };
 
 TargetClient::TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge,
-                           std::string holder, OnAttemptEnded onAttemptEnded,
+                           std::string holder, OnAttemptEvent onAttemptEvent,
                            OnControlEvent onControlEvent)
     : impl(std::make_unique<Impl>(std::move(exchanges), edge, std::move(holder),
-                                  std::move(onAttemptEnded), std::move(onControlEvent)))
+                                  std::move(onAttemptEvent), std::move(onControlEvent)))
 {
 }
 
--- a/src/net/target_client_base.h
+++ b/src/net/target_client_base.h
@@ -18,8 +18,9 @@
 class TargetClient
 {
 public:
-    /** Called once for each started attempt, unless stop() comes first. */
-    using OnAttemptEnded = std::function<void(AttemptEnded &&)>;
+    /** Called with ResponseBegan at most once and with AttemptEnded once for each started attempt,
+     * unless stop() comes first. */
+    using OnAttemptEvent = std::function<void(HostEvent &&)>;
     /** Called once with the outcome of each queued order and inspection, unless stop() comes first.
      */
     using OnControlEvent = std::function<void(ControlEvent &&)>;
@@ -29,7 +30,7 @@
      * @param holder Id of this process's host; orders carry it as their sender.
      */
     TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
-                 OnAttemptEnded onAttemptEnded, OnControlEvent onControlEvent);
+                 OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent);
     ~TargetClient();
     TargetClient(const TargetClient &) = delete;
     TargetClient &operator=(const TargetClient &) = delete;
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <utility>
 
 namespace bilberry {
 
@@ -268,6 +269,8 @@
         }
     }
     this->exchange->append(completeEvents);
+    if (this->onBegan)
+        std::exchange(this->onBegan, nullptr)();
     this->lastRelayedEvent = this->lastEventNumber(completeEvents);
     this->sawEndMarker = marked != std::string::npos;
     this->body.erase(0, this->sawEndMarker ? std::string::npos : end);
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -61,6 +61,8 @@
     std::atomic<bool> paused{false};
     /** Called when the caller's buffer has space again, on the thread that reads the buffer. */
     std::function<void()> onBufferSpace;
+    /** Called when the first event of this attempt was relayed; set if the attempt asks for it. */
+    std::function<void()> onBegan;
 
     const StartAttempt attempt;
 
--- a/src/replay/decision_simulation.cpp
+++ b/src/replay/decision_simulation.cpp
@@ -215,6 +215,8 @@
     if (ended.result == AttemptResult::Answered && attempt.keepAnswer)
         ended.answer = StoredAnswer{200, "text/plain", "done", false};
     const TimePoint at = this->time + (target.down ? 1ms : target.serviceTime);
+    if (!target.down && target.timeToFirstEvent > Duration::zero())
+        this->scheduleFirstEvent(host, attempt);
     this->schedule(at, [this, host, incarnation, ended, start, id = attempt.target]() {
         if (this->attempts.erase({host, ended.attempt}) == 0)
             return; // The attempt was cancelled.
@@ -234,6 +236,46 @@
     });
 }
 
+void DecisionSimulation::scheduleFirstEvent(int host, const StartAttempt &attempt)
+{
+    const Duration delay = this->targets.at(attempt.target).timeToFirstEvent;
+    this->schedule(this->time + delay, [this, host, attempt]() {
+        if (!this->attempts.contains({host, attempt.attempt}))
+            return; // The attempt was cancelled or lost.
+        const SimulatedTarget &target = this->targets.at(attempt.target);
+        if (target.crashes && target.crashes(attempt))
+            this->crashTarget(attempt.target);
+        else if (attempt.reportBegin)
+            this->stepHost(host, ResponseBegan{attempt.attempt});
+    });
+}
+
+void DecisionSimulation::crashTarget(const TargetId &id)
+{
+    SimulatedTarget &target = this->targets.at(id);
+    target.down = true;
+    target.running = 0;
+    std::vector<std::pair<int, AttemptId>> lost;
+    for (const auto &[attempt, ranOn] : this->attempts) {
+        if (ranOn == id)
+            lost.push_back(attempt);
+    }
+    for (const auto &[host, attempt] : lost) {
+        this->attempts.erase({host, attempt});
+        AttemptEnded ended;
+        ended.attempt = attempt;
+        ended.result = AttemptResult::Lost;
+        ended.connectionLost = true;
+        if (!this->hosts[static_cast<std::size_t>(host)].down)
+            this->stepHost(host, ended);
+    }
+    this->schedule(this->time + target.restartTime, [this, id]() {
+        SimulatedTarget &restarted = this->targets.at(id);
+        restarted.announcement.start = Incarnation(restarted.announcement.start.value + 1);
+        restarted.down = false;
+    });
+}
+
 void DecisionSimulation::stepControl(const ControlEvent &event)
 {
     if (this->onControlStep)
--- a/src/replay/decision_simulation_base.h
+++ b/src/replay/decision_simulation_base.h
@@ -23,6 +23,11 @@
     int running = 0; ///< Number of attempts in progress, of all hosts.
     int maxRunning = 0; ///< Highest value of running so far.
     bool down = false; ///< Neither announces itself nor accepts attempts.
+    /** Time from the start of an attempt to the first event of its response; zero: no event. */
+    Duration timeToFirstEvent{};
+    /** Whether the target crashes instead of sending the first event; null: never. */
+    std::function<bool(const StartAttempt &)> crashes;
+    Duration restartTime = 5s; ///< Time from a crash to the next incarnation.
 };
 
 /** Outcome of one request, as its caller sees it. */
@@ -72,6 +77,9 @@
     /** Runs all events up to @p end and sets the clock to @p end. */
     void runUntil(TimePoint end);
 
+    /** Stops a target: its attempts are lost. It is back after its restart time. */
+    void crashTarget(const TargetId &id);
+
     /** Restarts the host's process; requests in progress get no answer. */
     void restartHost(int host);
 
@@ -119,6 +127,7 @@
     void stepControl(const ControlEvent &event);
     void applyEffects(const ControlEffects &effects);
     void startAttempt(int host, const StartAttempt &attempt);
+    void scheduleFirstEvent(int host, const StartAttempt &attempt);
     void announceAll();
     void tickAll();
     void startControl();
--- a/src/table/refusals.h
+++ b/src/table/refusals.h
@@ -30,6 +30,7 @@
     MayHaveRun, ///< The target was lost after the request was sent to it.
     AnswerNotKept, ///< The call has completed, but its answer was too large to store for a replay.
     CallTooOld, ///< The call is older than the retained records of idempotent calls.
+    PartQuarantined, ///< Requests with the same part of the prompt have crashed several targets.
 };
 
 /** HTTP representation of one refusal. */
@@ -72,6 +73,8 @@
     {RefusalCode::AnswerNotKept, 409, "answer_not_kept",
      "the call ran; its answer was too large to keep"},
     {RefusalCode::CallTooOld, 409, "too_old", "the call is older than the records reach"},
+    {RefusalCode::PartQuarantined, 503, "part_quarantined",
+     "requests with a part of this prompt have crashed several targets"},
 };
 
 /** @return The HTTP representation of @p code. */
--- a/src/tests/endless_answer_test.cpp
+++ b/src/tests/endless_answer_test.cpp
@@ -190,7 +190,8 @@
     RecordingClient()
         : client(
             exchanges, nativeEdge(), "leader",
-            [this](AttemptEnded &&ended) {
+            [this](HostEvent &&event) {
+                const auto &ended = std::get<AttemptEnded>(event);
                 absl::MutexLock lock(&this->mutex);
                 this->ended.emplace(ended.attempt, ended);
             },
--- a/src/tests/target_client_test.cpp
+++ b/src/tests/target_client_test.cpp
@@ -132,7 +132,7 @@
 {
     OrderSender()
         : client(
-            std::make_shared<ExchangeTable>(), nativeEdge(), "leader", [](AttemptEnded &&) {},
+            std::make_shared<ExchangeTable>(), nativeEdge(), "leader", [](HostEvent &&) {},
             [this](ControlEvent &&event) {
                 absl::MutexLock lock(&this->mutex);
                 this->reply = std::get<OrderReplyEvent>(event).reply;
@@ -172,9 +172,9 @@
         , exchange(exchanges->add(RequestId(1)))
         , client(
               exchanges, nativeEdge(), "host",
-              [this](AttemptEnded &&ended) {
+              [this](HostEvent &&event) {
                   absl::MutexLock lock(&this->mutex);
-                  this->result = ended.result;
+                  this->result = std::get<AttemptEnded>(event).result;
               },
               [](ControlEvent &&) {})
     {
