Fix: [Net] A stream without length or chunks that ends inside an event was broken off

What callers saw: nothing yet; the rule is new. A stream that ends with its connection was taken as complete wherever it ended, so its caller got a part of an event as the end of a whole answer, and a resumable stream was not resumed. Cause: with HTTP framing alone an orderly close always counted as the end. The end of an event is the only other sign. Change: such a stream with bytes after its last whole event is a lost attempt; those bytes are not relayed, and a resumed stream goes on after the last whole event. Measured: endless_answer/stream_that_ends_with_its_connection_inside_an_event_was_broken_off, five ends (whole, inside an event, after a line of an event, reset between events, reset inside one): failed in two cases before, passes now.

--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -334,8 +334,12 @@
         return AttemptResult::Answered;
     if (code != CURLE_OK)
         return AttemptResult::Lost;
-    if (this->edge.completionRule == CompletionRule::HttpFraming)
-        return AttemptResult::Answered;
+    if (this->edge.completionRule == CompletionRule::HttpFraming) {
+        // Without length and chunks, only the end of an event tells a complete stream from a broken
+        // one.
+        const bool brokenOff = answer.streamed && !this->framed && !this->body.empty();
+        return brokenOff ? AttemptResult::Lost : AttemptResult::Answered;
+    }
     const bool complete = answer.streamed ? this->sawEndMarker : this->framed;
     return complete ? AttemptResult::Answered : AttemptResult::Lost;
 }
--- a/src/tests/endless_answer_test.cpp
+++ b/src/tests/endless_answer_test.cpp
@@ -2,6 +2,7 @@
  */
 #include "net/native_edge_func.h"
 #include "net/target_client_base.h"
+#include "platform/edge_func.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
@@ -123,7 +124,9 @@
 
     static std::string insertId(std::string text, const std::string &request)
     {
-        const std::string name = "X-Correlation-Id: ";
+        const std::string native = "X-Correlation-Id: ";
+        const std::string name
+            = request.find(native) != std::string::npos ? native : "X-Bilberrybend-Request-Id: ";
         const std::size_t at = request.find(name);
         if (at == std::string::npos)
             return text;
@@ -187,9 +190,9 @@
 /** Client that records ended attempts and the reply to an order. */
 struct RecordingClient
 {
-    RecordingClient()
+    explicit RecordingClient(const Edge &edge = nativeEdge())
         : client(
-            exchanges, nativeEdge(), "leader",
+            exchanges, edge, "leader",
             [this](HostEvent &&event) {
                 const auto &ended = std::get<AttemptEnded>(event);
                 absl::MutexLock lock(&this->mutex);
@@ -208,6 +211,9 @@
         std::shared_ptr<Exchange> exchange = this->exchanges->add(RequestId(number));
         exchange->forwarded.method = "GET";
         exchange->forwarded.path = path;
+        exchange->forwarded.correlation = std::to_string(number);
+        exchange->forwarded.headers
+            = {{"X-Bilberrybend-Request-Id", exchange->forwarded.correlation}};
         StartAttempt attempt;
         attempt.attempt = AttemptId(number);
         attempt.correlation = attempt.attempt;
@@ -520,3 +526,34 @@
         cr_expect(ended->connectionLost, "resets: %d", resets);
     }
 }
+
+// Guards against a stream without length or chunks that is taken as complete although the target
+// broke it off inside an event.
+Test(endless_answer, stream_that_ends_with_its_connection_inside_an_event_was_broken_off)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Bilberrybend-Request-Id: $ID\r\n"
+                             "X-Bilberrybend-Server-Seal: s\r\nContent-Type: text/event-stream\r\n"
+                             "\r\n";
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    struct Case
+    {
+        std::string rest; ///< Bytes after the last complete event.
+        bool resets = false;
+        bool complete = false;
+    };
+    for (const Case &item : {Case{"", false, true}, Case{"id: 3\nda", false, false},
+                             Case{"id: 3\ndata: c\n", false, false}, Case{"", true, false},
+                             Case{"id: 3\nda", true, false}}) {
+        EndlessTarget breaking({head + events + item.rest, "", true, item.resets});
+        RecordingClient recorder(platformEdge());
+        const auto exchange = recorder.start(breaking.address, "/endless", 1);
+        const auto ended = recorder.waitEnded(1, ATTEMPT_END_TIMEOUT);
+        cr_assert(ended.has_value());
+        cr_expect_eq(ended->result == AttemptResult::Answered, item.complete, "rest \"%s\"",
+                     item.rest.c_str());
+        cr_expect_eq(looksComplete(*exchange), item.complete, "rest \"%s\"", item.rest.c_str());
+        cr_expect_eq(ended->eventsRelayed, 2, "a resumed stream continues after the last event");
+        absl::MutexLock lock(&exchange->mutex);
+        cr_expect_eq(exchange->buffer, events);
+    }
+}
