Fix: [Quarantine] A sound part is not blamed for the trials of bad ones that came with it

Cause: a lost trial counted against every part of its request, tested or not. Change: a lost trial counts only against a restricted part; against one that was tested alone more than against the last of several that were tested together. Two single trials or three joint ones quarantine a part. Once a sound part is cleared, its joint trials count as single ones of the other. Test part_that_another_request_clears_is_not_blamed_for_joint_trials is new; of_two_parts_lost_together_the_later_one_is_named now gives three trials where it gave two, and checks that two name no part.

--- a/src/control/crash_report.cpp
+++ b/src/control/crash_report.cpp
@@ -57,7 +57,7 @@
         effects.logEvents.push_back({"partSuspected",
                                      {{"part", part},
                                       {"losses", suspicion.losses},
-                                      {"trialLosses", suspicion.trialLosses},
+                                      {"trialScore", suspicion.trialScore},
                                       {"restricted", isRestricted(suspicion)}}});
     }
     for (const auto &[part, suspicion] : before) {
@@ -105,7 +105,7 @@
         effects.logEvents.push_back({"partQuarantined",
                                      {{"part", *found},
                                       {"losses", suspicion.losses},
-                                      {"trialLosses", suspicion.trialLosses},
+                                      {"trialScore", suspicion.trialScore},
                                       {"forMs", toMilliseconds(QUARANTINE_DURATION)}}});
     }
     std::vector<PromptPart> known;
--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -9,7 +9,9 @@
 
 constexpr int RESTRICTING_LOSSES
     = 2; ///< Losses from which requests with a part run as trials only.
-constexpr int CONVICTING_TRIALS = 2; ///< Lost trials after which a part is quarantined.
+constexpr int SINGLE_TRIAL_SCORE = 3; ///< For a lost trial of one restricted part.
+constexpr int JOINT_TRIAL_SCORE = 2; ///< For the last of several parts that were tried together.
+constexpr int CONVICTING_SCORE = 6; ///< A part with this score is quarantined.
 constexpr std::size_t MAX_LOSSES = 256; ///< Further losses are ignored until old ones are removed.
 
 /** @return Whether the loss counts against the part: no response on it has begun since. */
@@ -24,30 +26,57 @@
     return std::find(lost.parts.begin(), lost.parts.end(), part) != lost.parts.end();
 }
 
-/** @return Parts that all trials of the loss have in common; empty if no trial ran. */
-std::set<PromptPart> partsOfAllTrials(const TargetLoss &loss)
+/** @return All parts of the requests of the loss. */
+std::set<PromptPart> partsOf(const TargetLoss &loss)
 {
-    std::optional<std::set<PromptPart>> common;
+    std::set<PromptPart> parts;
+    for (const auto &[id, lost] : loss.requests)
+        parts.insert(lost.parts.begin(), lost.parts.end());
+    return parts;
+}
+
+/** @return Restricted parts of a request against which the loss counts, in their order. */
+std::vector<PromptPart> testedParts(const PartEvidence &evidence,
+                                    const std::map<PromptPart, PartSuspicion> &suspicions,
+                                    const TargetLoss &loss, const LostRequest &lost)
+{
+    std::vector<PromptPart> tested;
+    for (const PromptPart &part : lost.parts) {
+        if (counts(evidence, loss, part) && isRestricted(suspicions.at(part)))
+            tested.push_back(part);
+    }
+    return tested;
+}
+
+/** @return Parts that all trials of the loss have tested; empty if they differ. */
+std::vector<PromptPart> testedByAllTrials(const PartEvidence &evidence,
+                                          const std::map<PromptPart, PartSuspicion> &suspicions,
+                                          const TargetLoss &loss)
+{
+    std::optional<std::vector<PromptPart>> common;
     for (const auto &[id, lost] : loss.requests) {
         if (!lost.trial)
             continue;
-        if (!common)
-            common.emplace(lost.parts.begin(), lost.parts.end());
-        std::erase_if(*common,
-                      [&lost = lost](const PromptPart &part) { return !hasPart(lost, part); });
+        std::vector<PromptPart> tested = testedParts(evidence, suspicions, loss, lost);
+        if (common && *common != tested)
+            return {};
+        common = std::move(tested);
     }
-    return common.value_or(std::set<PromptPart>());
+    return common.value_or(std::vector<PromptPart>());
 }
 
-/** @return The greatest index of each part in a request of the loss. */
-std::map<PromptPart, std::size_t> positionsOf(const TargetLoss &loss)
+/**
+ * Counts the trials of each loss. If several parts were tested together, the last one is the most
+ * likely cause, since the fewest requests share it; a sound one is soon cleared by the others.
+ */
+void countTrials(const PartEvidence &evidence, std::map<PromptPart, PartSuspicion> &suspicions)
 {
-    std::map<PromptPart, std::size_t> positions;
-    for (const auto &[id, lost] : loss.requests) {
-        for (std::size_t i = 0; i < lost.parts.size(); ++i)
-            positions[lost.parts[i]] = std::max(positions[lost.parts[i]], i);
+    for (const auto &[incarnation, loss] : evidence.losses) {
+        const std::vector<PromptPart> tested = testedByAllTrials(evidence, suspicions, loss);
+        if (!tested.empty())
+            suspicions.at(tested.back()).trialScore
+                += tested.size() == 1 ? SINGLE_TRIAL_SCORE : JOINT_TRIAL_SCORE;
     }
-    return positions;
 }
 
 /** @return Suspicions by the present losses and answers. */
@@ -55,16 +84,12 @@
 {
     std::map<PromptPart, PartSuspicion> suspicions;
     for (const auto &[incarnation, loss] : evidence.losses) {
-        const std::set<PromptPart> tried = partsOfAllTrials(loss);
-        for (const auto &[part, position] : positionsOf(loss)) {
-            if (!counts(evidence, loss, part))
-                continue;
-            PartSuspicion &suspicion = suspicions[part];
-            ++suspicion.losses;
-            suspicion.trialLosses += tried.contains(part) ? 1 : 0;
-            suspicion.position = std::max(suspicion.position, position);
+        for (const PromptPart &part : partsOf(loss)) {
+            if (counts(evidence, loss, part))
+                ++suspicions[part].losses;
         }
     }
+    countTrials(evidence, suspicions);
     return suspicions;
 }
 
@@ -73,14 +98,10 @@
 {
     std::set<PromptPart> named;
     std::erase_if(evidence.losses, [&](const auto &item) {
-        std::set<PromptPart> parts;
-        bool open = false;
-        for (const auto &[id, lost] : item.second.requests) {
-            for (const PromptPart &part : lost.parts) {
-                parts.insert(part);
-                open = open || counts(evidence, item.second, part);
-            }
-        }
+        const std::set<PromptPart> parts = partsOf(item.second);
+        const bool open = std::any_of(parts.begin(), parts.end(), [&](const PromptPart &part) {
+            return counts(evidence, item.second, part);
+        });
         if (open)
             named.insert(parts.begin(), parts.end());
         return !open;
@@ -167,12 +188,11 @@
 std::optional<PromptPart> findCrashingPart(const PartEvidence &evidence)
 {
     std::optional<PromptPart> found;
-    std::tuple<int, std::size_t> best;
+    std::pair<int, int> best;
     for (const auto &[part, suspicion] : evidence.suspicions) {
-        if (suspicion.trialLosses < CONVICTING_TRIALS || evidence.verdicts.contains(part))
-            continue;
-        const std::tuple rank(suspicion.losses, suspicion.position);
-        if (found && rank <= best)
+        const std::pair rank(suspicion.trialScore, suspicion.losses);
+        if (suspicion.trialScore < CONVICTING_SCORE || evidence.verdicts.contains(part)
+            || rank <= best)
             continue;
         found = part;
         best = rank;
--- a/src/quarantine/part_evidence_base.h
+++ b/src/quarantine/part_evidence_base.h
@@ -20,8 +20,7 @@
 struct PartSuspicion
 {
     int losses = 0;
-    int trialLosses = 0; ///< Losses in which all trials had the part, and at least one trial ran.
-    std::size_t position = 0; ///< Greatest index of the part in a lost request.
+    int trialScore = 0; ///< Weight of the losses in which all trials were trials of this part.
 };
 
 /** Permission of one host to dispatch one request with a restricted part. */
--- a/src/quarantine/part_evidence_func.h
+++ b/src/quarantine/part_evidence_func.h
@@ -32,10 +32,7 @@
 bool grantTrial(PartEvidence &evidence, const PromptPart &part, const HolderId &holder,
                 TimePoint now);
 
-/**
- * @return The part whose trials show that it crashes targets, if there is one. Of two parts that
- * are always lost together, the later one in the prompt is named, since fewer requests share it.
- */
+/** @return The part whose trials show that it crashes targets, if there is one. */
 std::optional<PromptPart> findCrashingPart(const PartEvidence &evidence);
 
 /**
--- a/src/tests/part_quarantine_test.cpp
+++ b/src/tests/part_quarantine_test.cpp
@@ -168,7 +168,8 @@
     void countArrival(const StartAttempt &start)
     {
         const auto bad = this->badRequests.find(start.request);
-        if (bad != this->badRequests.end())
+        const bool arrives = !this->simulation.targets.at(start.target).down;
+        if (arrives && bad != this->badRequests.end())
             this->arrivals[bad->second].push_back(this->simulation.now());
     }
 
@@ -380,12 +381,25 @@
     PartEvidence evidence;
     for (std::uint64_t i = 1; i <= 4; ++i)
         addLostRequest(evidence, HOLDER, makeLoss(i, {"common", "bad"}, i > 2), NOW);
+    cr_assert_eq(findCrashingPart(evidence), std::nullopt, "two trials do not tell them apart");
+    addLostRequest(evidence, HOLDER, makeLoss(5, {"common", "bad"}, true), NOW);
     cr_assert_eq(findCrashingPart(evidence), PromptPart("bad"));
     addVerdict(evidence, PromptPart("bad"), NOW);
     cr_assert(evidence.suspicions.empty(), "the verdict explains all losses");
     cr_assert_eq(findCrashingPart(evidence), std::nullopt);
 }
 
+// Guards against a sound part that is blamed for the trials of bad ones that came with it.
+Test(part_quarantine, part_that_another_request_clears_is_not_blamed_for_joint_trials)
+{
+    PartEvidence evidence;
+    for (std::uint64_t i = 1; i <= 4; ++i)
+        addLostRequest(evidence, HOLDER, makeLoss(i, {"bad", "sound"}, i > 2), NOW);
+    cr_assert_eq(findCrashingPart(evidence), std::nullopt);
+    addAnsweredPart(evidence, {PromptPart("sound"), 0s}, NOW + 1s);
+    cr_assert_eq(findCrashingPart(evidence), PromptPart("bad"));
+}
+
 Test(part_quarantine, repeated_report_of_a_loss_counts_once)
 {
     PartEvidence evidence;
