Add: [Log] [Net] What targets state about themselves in their answers is read and logged

No line of any process said that a target had named a limit, so that the logs could not tell whether the statement is never read, kept by each host for itself, or gone round by retries. The heads of answers that carry the request's id and a proof are now decoded once, in the adapters, into a TargetStatement (leaving, quiet period, request rate); the host gets it as an event at the end of the head, counts it and logs it. Nothing is decided by it yet.

--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -66,6 +66,9 @@
     appendCounter(out, "callers_gone_total", "", "", counters.callerGone);
     appendCounter(out, "lost_unanswered_total", "", "", counters.lostUnanswered);
     appendCounter(out, "part_trials_total", "", "", counters.trials);
+    appendCounter(out, "target_statements_total", "kind", "leaving", counters.leavingStated);
+    appendCounter(out, "target_statements_total", "kind", "quiet", counters.quietStated);
+    appendCounter(out, "target_statements_total", "kind", "requestRate", counters.rateStated);
     for (const auto &[type, count] : counters.refusals)
         appendCounter(out, "refusals_total", "type", type, count);
     for (const auto &[result, count] : counters.attempts)
@@ -310,6 +313,14 @@
                              {"status", ended->status},
                              {"events", ended->eventsRelayed},
                              {"connectionLost", ended->connectionLost}});
+    if (const auto *stated = std::get_if<TargetStated>(&event))
+        logEventRateLimited("targetStated",
+                            {{"attempt", stated->attempt},
+                             {"target", stated->target},
+                             {"start", stated->start},
+                             {"leaving", stated->statement.leaving},
+                             {"quietFor", stated->statement.quietFor},
+                             {"requestRate", stated->statement.requestRate}});
     for (const HostEffect &effect : effects) {
         if (const auto *refusal = std::get_if<RefuseCaller>(&effect)) {
             nlohmann::json line = inputs(refusal->request);
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -133,6 +133,7 @@
     start.attempt = request.attempt;
     start.request = request.asked.request;
     start.target = request.target;
+    start.targetStart = request.targetStart;
     start.address = target.announcement.address;
     start.remaining = request.deadline - now;
     start.deadline = request.deadline;
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -260,6 +260,7 @@
     start.attempt = request.attempt;
     start.request = id;
     start.target = targetId;
+    start.targetStart = request.targetStart;
     start.address = target.announcement.address;
     start.remaining = request.deadline - now;
     start.deadline = request.deadline;
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -102,6 +102,8 @@
         onTargetShuttingDown(host, left->target);
     else if (const auto *began = std::get_if<ResponseBegan>(&event))
         onResponseBegan(host, began->attempt, now);
+    else if (const auto *stated = std::get_if<TargetStated>(&event))
+        onTargetStated(host, *stated, effects, now);
     refuseExpired(host, effects, now);
     dispatchAll(host, effects, now);
     if (std::holds_alternative<TickEvent>(event)) {
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -201,6 +201,9 @@
     std::uint64_t callerGone = 0; ///< Requests whose caller disconnected.
     std::uint64_t lostUnanswered = 0; ///< Requests lost with a target that had not begun to answer.
     std::uint64_t trials = 0; ///< Requests dispatched as trials of restricted parts.
+    std::uint64_t leavingStated = 0; ///< Answers whose target stated that it leaves.
+    std::uint64_t quietStated = 0; ///< Answers whose target asked for a quiet period.
+    std::uint64_t rateStated = 0; ///< Answers whose target stated a request rate limit.
     std::map<std::string, std::uint64_t> refusals; ///< Refused requests by refusal type.
     std::map<std::string, std::uint64_t> attempts; ///< Ended attempts by result.
     std::map<std::string, std::uint64_t> bounds; ///< Exceeded response limits by name.
@@ -210,8 +213,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostCounters, requests, answered, retries, resumed,
                                                 reports, callsReplayed, callsJoined, callerGone,
-                                                lostUnanswered, trials, refusals, attempts, bounds,
-                                                waits, answers, refusalTimes)
+                                                lostUnanswered, trials, leavingStated, quietStated,
+                                                rateStated, refusals, attempts, bounds, waits,
+                                                answers, refusalTimes)
 
 /** Complete state of one host's decision logic. */
 struct Host
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -53,6 +53,9 @@
 // Attempts.
 void onAttemptEnded(Host &host, const AttemptEnded &ended, HostEffects &effects, TimePoint now);
 
+// Statements of targets in their answers.
+void onTargetStated(Host &host, const TargetStated &stated, HostEffects &effects, TimePoint now);
+
 // Parts of prompts that may crash targets.
 /** Notes when the response of a running attempt began. */
 void onResponseBegan(Host &host, AttemptId attempt, TimePoint now);
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -4,6 +4,7 @@
 #include "link/link_type.h"
 #include "queue/fair_queue_base.h"
 #include "table/refusals.h"
+#include "target/statement_type.h"
 
 #include <variant>
 
@@ -120,6 +121,22 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ResponseBegan, attempt)
 
+/**
+ * The head of a target's answer has arrived, and the target states something about itself or the
+ * attempt asks for statements. The attempt goes on.
+ */
+struct TargetStated
+{
+    AttemptId attempt;
+    TargetId target;
+    Incarnation start; ///< Incarnation to which the attempt was sent.
+    TargetStatement statement;
+    TimePoint sentAt; ///< Time at which the request was sent.
+    TimePoint receivedAt; ///< Time at which the end of the head arrived.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetStated, attempt, target, start, statement,
+                                                sentAt, receivedAt)
+
 /** A message from a control host was received. */
 struct ControlMessageEvent
 {
@@ -192,10 +209,10 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ControlMemberIdentified, member)
 
-using HostEvent
-    = std::variant<CallerRequest, CallerDisconnected, AttemptEnded, ControlMessageEvent,
-                   ControlLinkEvent, TargetAnnounced, CacheHint, OperatorRequest, TickEvent,
-                   ShutdownEvent, ControlMemberIdentified, TargetShuttingDown, ResponseBegan>;
+using HostEvent = std::variant<CallerRequest, CallerDisconnected, AttemptEnded, ControlMessageEvent,
+                               ControlLinkEvent, TargetAnnounced, CacheHint, OperatorRequest,
+                               TickEvent, ShutdownEvent, ControlMemberIdentified,
+                               TargetShuttingDown, ResponseBegan, TargetStated>;
 
 /** Whether a target may have run a refused request. */
 enum class Execution {
@@ -231,6 +248,7 @@
     AttemptId attempt;
     RequestId request;
     TargetId target;
+    Incarnation targetStart; ///< Incarnation of @c target that the attempt is meant for.
     std::string address; ///< "ip:port" of the target.
     Duration remaining{}; ///< Time left until @c deadline.
     TimePoint deadline;
@@ -248,12 +266,13 @@
     AccountId account; ///< Client account of the request; empty on open routes.
     bool holdFailures = false; ///< Server errors are withheld from the caller, for a retry.
     bool reportBegin = false; ///< ResponseBegan is to be reported.
+    bool reportStatement = false; ///< TargetStated is to be reported, also if it states nothing.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
                                                 remaining, deadline, sendBy, firstByteLimit,
                                                 interByteLimit, freshConnection, keepAnswer,
                                                 correlation, resumeAfter, account, holdFailures,
-                                                reportBegin)
+                                                reportBegin, reportStatement, targetStart)
 
 /** Cancels a running attempt; its AttemptEnded still follows. */
 struct CancelAttempt
--- a/src/net/edge_type.h
+++ b/src/net/edge_type.h
@@ -48,6 +48,8 @@
     bool belongsToAttempt = false; ///< The answer belongs to this attempt; the caller may get it.
     bool notRun = false; ///< The target states that it did not execute the request.
     bool streamed = false; ///< The body is a stream of server-sent events.
+    /** What the target states about itself; empty if the answer may be another target's. */
+    std::optional<TargetStatement> statement;
     HeaderList relayedHeaders; ///< Headers to send to the caller.
 };
 
@@ -107,4 +109,7 @@
 /** @return Value of the first header named @p name, ignoring case; empty if there is none. */
 std::string headerValue(const HeaderList &headers, std::string_view name);
 
+/** @return Values of all headers named @p name, ignoring case; valid as long as @p headers. */
+std::vector<std::string_view> headerValues(const HeaderList &headers, std::string_view name);
+
 } // namespace bilberry
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -123,4 +123,14 @@
     return "";
 }
 
+std::vector<std::string_view> headerValues(const HeaderList &headers, std::string_view name)
+{
+    std::vector<std::string_view> values;
+    for (const auto &[key, value] : headers) {
+        if (equalHeaderNames(key, name))
+            values.emplace_back(value);
+    }
+    return values;
+}
+
 } // namespace bilberry
--- a/src/net/native_edge.cpp
+++ b/src/net/native_edge.cpp
@@ -4,6 +4,7 @@
 
 #include "daemon/operators_port_func.h"
 #include "net/http_server_base.h"
+#include "target/statement_func.h"
 
 #include <absl/strings/match.h>
 
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr int STATUS_UNAVAILABLE = 503;
+
 nlohmann::json errorBody(const RefuseCaller &refusal)
 {
     const RefusalResponse &response = refusalResponseOf(refusal.code);
@@ -60,6 +63,11 @@
     head.belongsToAttempt
         = headerValue(headers, "X-Correlation-Id") == std::to_string(attempt.correlation.value);
     head.notRun = headerValue(headers, "X-Execution") == "not-run";
+    if (head.belongsToAttempt)
+        head.statement = readStatement(
+            {headerValues(headers, "X-Target-Leaving"), headerValues(headers, "X-Request-Rate"),
+             head.notRun && status == STATUS_UNAVAILABLE ? headerValues(headers, "Retry-After")
+                                                         : std::vector<std::string_view>()});
     const std::string contentType = headerValue(headers, "Content-Type");
     head.streamed = status == 200 && absl::StartsWith(contentType, "text/event-stream");
     if (!contentType.empty())
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -215,6 +215,8 @@
         transfer->onBufferSpace = [this, id]() { this->taskQueue.push(Unpause{id}); };
         if (attempt.reportBegin)
             transfer->onBegan = [this, id]() { this->onAttemptEvent(ResponseBegan{id}); };
+        transfer->onStated
+            = [this](TargetStated stated) { this->onAttemptEvent(std::move(stated)); };
         const auto retired = this->retiredAt.find(attempt.address);
         if (retired != this->retiredAt.end())
             transfer->limitConnectionIdleTime(
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t MAX_STREAM_BYTES = 32 << 20; ///< Bound of all events of one attempt together.
 constexpr const char *EVENT_END = "\n\n";
 constexpr const char *STREAM_END = "data: [DONE]";
+constexpr int FINAL_STATUS = 200; ///< Lowest HTTP status code that is not interim.
 constexpr int SERVER_ERROR = 500; ///< Lowest HTTP status code of a server error.
 
 curl_slist *addHeader(curl_slist *list, const std::string &name, const std::string &value)
@@ -100,6 +101,7 @@
     transfer.requestHeaders
         = makeHeaders(transfer.edge.attemptHeaders(transfer.exchange->forwarded, sending));
     curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, transfer.requestHeaders);
+    transfer.sentAt = now;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -173,6 +175,8 @@
         this->framed = false;
         return;
     }
+    if (line.empty() && this->status >= FINAL_STATUS)
+        this->reportStatement();
     const std::size_t colon = line.find(':');
     if (colon == std::string::npos)
         return;
@@ -183,6 +187,22 @@
     this->headers.emplace_back(std::move(name), std::move(value));
 }
 
+void Transfer::reportStatement()
+{
+    const std::optional<TargetStatement> &statement = this->readHead().statement;
+    if (!statement || !this->onStated)
+        return;
+    if (statement->malformed)
+        logEventRateLimited("targetStatementMalformed",
+                            {{"attempt", this->attempt.attempt}, {"target", this->attempt.target}});
+    if (!statement->any() && !this->attempt.reportStatement)
+        return;
+    // A trailer ends with an empty line, too; the statement is reported once.
+    std::exchange(this->onStated,
+                  nullptr)({this->attempt.attempt, this->attempt.target, this->attempt.targetStart,
+                            *statement, this->sentAt, this->lastByteAt});
+}
+
 const AnswerHead &Transfer::readHead()
 {
     if (!this->head)
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -63,6 +63,9 @@
     std::function<void()> onBufferSpace;
     /** Called when the first event of this attempt was relayed; set if the attempt asks for it. */
     std::function<void()> onBegan;
+    /** Called with the target's statement when the head of the answer is complete, if it states
+     * anything or the attempt asks for it. */
+    std::function<void(TargetStated)> onStated;
 
     const StartAttempt attempt;
 
@@ -79,6 +82,7 @@
     void detectMalformedAnswer(CURLcode code);
     /** Interprets status and headers, once; called only after the last header was received. */
     const AnswerHead &readHead();
+    void reportStatement();
     bool isStreamed() { return this->readHead().streamed; }
     std::int64_t lastEventNumber(std::string_view completeEvents) const;
     void setBody();
@@ -97,6 +101,7 @@
     int status = 0; ///< HTTP status code; 0: no answer yet.
     HeaderList headers; ///< Headers of the target's answer.
     std::optional<AnswerHead> head;
+    TimePoint sentAt; ///< Time at which the connection was ready for the request.
     bool framed = false; ///< The answer has a Content-Length or Transfer-Encoding header.
     bool sawEndMarker = false; ///< The stream's end marker was received; later bytes are dropped.
     ResponseLimit bound = ResponseLimit::None; ///< Bound that the answer exceeded.
--- a/src/replay/decision_simulation.cpp
+++ b/src/replay/decision_simulation.cpp
@@ -204,6 +204,10 @@
     SimulatedTarget &target = this->targets.at(attempt.target);
     const Incarnation start = target.announcement.start;
     ++target.running;
+    if (!target.down)
+        target.arrivals.push_back({this->time, host});
+    if (!target.down && target.statement)
+        this->scheduleStatement(host, attempt);
     this->attempts[{host, attempt.attempt}] = attempt.target;
     target.maxRunning = std::max(target.maxRunning, target.running);
     AttemptEnded ended;
@@ -236,6 +240,27 @@
     });
 }
 
+void DecisionSimulation::scheduleStatement(int host, const StartAttempt &attempt)
+{
+    const SimulatedTarget &target = this->targets.at(attempt.target);
+    const TargetStatement statement = target.statement(attempt);
+    if (!statement.any() && !attempt.reportStatement)
+        return;
+    TargetStated stated;
+    stated.attempt = attempt.attempt;
+    stated.target = attempt.target;
+    stated.start = attempt.targetStart;
+    stated.statement = statement;
+    stated.sentAt = this->time;
+    stated.receivedAt = this->time + target.headDelay;
+    const std::uint64_t incarnation = this->hostIncarnations[static_cast<std::size_t>(host)];
+    this->schedule(stated.receivedAt, [this, host, incarnation, stated]() {
+        if (incarnation == this->hostIncarnations[static_cast<std::size_t>(host)]
+            && !this->hosts[static_cast<std::size_t>(host)].down)
+            this->stepHost(host, stated);
+    });
+}
+
 void DecisionSimulation::scheduleFirstEvent(int host, const StartAttempt &attempt)
 {
     const Duration delay = this->targets.at(attempt.target).timeToFirstEvent;
@@ -313,6 +338,9 @@
         });
     }
     for (const SendOrder &order : effects.orders) {
+        const auto target = this->targets.find(order.order.target);
+        if (target != this->targets.end())
+            target->second.arrivals.push_back({this->time, -1});
         this->schedule(this->time + 1ms, [this, order, incarnation]() {
             if (incarnation == this->controlIncarnation)
                 this->stepControl(
--- a/src/replay/decision_simulation_base.h
+++ b/src/replay/decision_simulation_base.h
@@ -13,6 +13,13 @@
 
 namespace bilberry {
 
+/** Arrival of an attempt or an order at a simulated target. */
+struct SimulatedArrival
+{
+    TimePoint at;
+    int host = 0; ///< Number of the host; -1: an order of the leader.
+};
+
 /** Simulated target. */
 struct SimulatedTarget
 {
@@ -27,6 +34,11 @@
     Duration timeToFirstEvent{};
     /** Whether the target crashes instead of sending the first event; null: never. */
     std::function<bool(const StartAttempt &)> crashes;
+    /** Statement in the head of the answer to an attempt, which arrives after headDelay; null: the
+     * target states nothing. */
+    std::function<TargetStatement(const StartAttempt &)> statement;
+    Duration headDelay = 1ms;
+    std::vector<SimulatedArrival> arrivals; ///< All attempts and orders that arrived, in order.
     Duration restartTime = 5s; ///< Time from a crash to the next incarnation.
 };
 
@@ -128,6 +140,7 @@
     void applyEffects(const ControlEffects &effects);
     void startAttempt(int host, const StartAttempt &attempt);
     void scheduleFirstEvent(int host, const StartAttempt &attempt);
+    void scheduleStatement(int host, const StartAttempt &attempt);
     void announceAll();
     void tickAll();
     void startControl();
