Fix: [Host] [Control] Hosts share the request rate that a target states

Callers of a target in need: none was refused, but the target got more requests than it had said it takes (13 of 12 and 15 of 11 in 4 s in the record), because the statement was never read. Read by each host for itself it would be kept once a host; so the rate is a quota of all hosts, as accounts' rates are:

- A host that hears of a limit sends no further request there without one that the leader has leased to it, and calls back what it has decided but not sent.
It reports the statement at once.
- The leader leases whole requests for a second from a token bucket (one second of the rate, two at least), host by host in turn; unused ones go back with the next report.
Its own orders and inspections come out of the same bucket: the record shows four orders among the 15 requests.
- All hosts learn of the limit with the registry; those that hold slots there are asked to report at once.
- Of answers that overtake each other the later counts, by when the request left and the head arrived; where neither is surely later, the lower rate.
Only the leader ends a limit.
A new leader learns limits from the reports of the hosts and grants nothing until the former leader's leases have ended.
- Requests whose turn cannot come in time are refused at once, with times to come back that follow each other.
- A target with a limit gets no further models; where more wait than it takes in 2 s, another replica is loaded.
It is not counted as overloaded for turning requests away.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -208,6 +208,7 @@
         activate(control, effects, now);
     for (const TargetId &target : removeTimedOutTargets(leadership.registry, now)) {
         leadership.slots.erase(target);
+        leadership.rates.erase(target);
         effects.logEvents.push_back({"targetSilent", {{"target", target}}});
     }
     if (now >= leadership.lostHostsCheckDue) {
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -11,6 +11,7 @@
 #include "state/cluster_base.h"
 #include "target/registry_base.h"
 #include "target/slot_ramp_type.h"
+#include "target/statement_type.h"
 
 #include <map>
 #include <optional>
@@ -57,6 +58,23 @@
     TimePoint sharesComputedAt; ///< Time of the last computation of the shares.
 };
 
+/** Latest report of a host on the requests that wait there for a target's request rate. */
+struct RateDemand
+{
+    std::int64_t wanted = 0; ///< Always positive.
+    TimePoint since; ///< Last time at which the host got a request granted or began to wait.
+    TimePoint reportedAt;
+};
+
+/** Request rate of one incarnation of a target, leased to hosts in single requests. */
+struct TargetRate
+{
+    Incarnation start;
+    RateObservation latest; ///< By the leader's clock.
+    LeasedPool pool; ///< Bound 0 until the target has stated a limit.
+    std::map<HolderId, RateDemand> demands; ///< Hosts with waiting requests.
+};
+
 /** A host run that has reported to this leader. */
 struct HostEntry
 {
@@ -132,6 +150,7 @@
     TimePoint sharedChangesAt; ///< Time at which @c sharedChanges was made.
     std::map<AccountId, AccountPools> accounts;
     std::map<TargetId, TargetSlots> slots;
+    std::map<TargetId, TargetRate> rates; ///< Targets that have stated a request rate.
     std::map<HostId, HostEntry> hosts;
     std::map<LogIndex, PendingCommand> pending; ///< By index of the proposed entry.
     std::map<CallId, std::vector<std::pair<HolderId, RequestId>>>
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -33,6 +33,19 @@
 /** Records the slot use in a report and adds slot grants to @p grant. */
 void grantSlots(Control &control, const HostReport &report, HostGrant &grant, TimePoint now);
 
+/**
+ * Records the request rates that targets have stated to the host, and grants the host requests to
+ * the targets with a limited rate.
+ */
+void grantRates(Control &control, const HostReport &report, HostGrant &grant,
+                ControlEffects &effects, TimePoint now);
+
+/**
+ * Takes an order or an inspection out of the target's request rate, if it is limited.
+ * @return False if the rate does not allow one now.
+ */
+bool tryTakeForOrder(Leadership &leadership, const TargetId &target, TimePoint now);
+
 /** Records which requests and parts of prompts ran on lost targets, for quarantineSuspects(). */
 void recordSuspicions(Leadership &leadership, const HostReport &report, ControlEffects &effects,
                       TimePoint now);
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -140,8 +140,10 @@
     for (const TargetAnnouncement &announcement : report.targets) {
         const AnnounceOutcome outcome = applyAnnouncement(
             leadership.registry, withAssumptions(leadership, announcement, now), now);
-        if (outcome == AnnounceOutcome::Restarted)
+        if (outcome == AnnounceOutcome::Restarted) {
             leadership.slots.erase(announcement.id);
+            leadership.rates.erase(announcement.id);
+        }
         const bool isChange
             = outcome == AnnounceOutcome::Restarted || outcome == AnnounceOutcome::Changed;
         if (isChange)
@@ -247,7 +249,9 @@
         for (TargetAnnouncement &announcement : grant.registry->changed) {
             announcement = withoutUnloading(control, std::move(announcement));
             addLoads(control, announcement, now);
-            announcement.failing = leadership.registry.targets.at(announcement.id).failing;
+            const TargetEntry &entry = leadership.registry.targets.at(announcement.id);
+            announcement.failing = entry.failing;
+            announcement.requestRate = entry.requestRate;
         }
     }
     addSuspects(leadership, report, grant);
@@ -342,6 +346,7 @@
     grantAccounts(control, report, grant, now);
     recallBudgets(control, report, effects, now);
     grantSlots(control, report, grant, now);
+    grantRates(control, report, grant, effects, now);
     addDeltas(control, report, grant, now);
     grantTrials(leadership, report, grant, effects, now);
     addHostCount(leadership, report.holder.host, grant, now);
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -99,8 +99,9 @@
     publishUnloads(control);
     publishLoads(control);
     applyAssumptions(leadership, now);
-    const PlacementInput input{control.cluster.view, leadership.registry,
-                               control.cluster.lastFencing};
+    const PlacementInput input{
+        control.cluster.view, leadership.registry, control.cluster.lastFencing,
+        [&](const TargetId &target) { return tryTakeForOrder(leadership, target, now); }};
     const auto drained = [&](const Replica &replica) {
         return isDrained(leadership, replicaId(replica.target, replica.variant), now);
     };
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -69,6 +69,8 @@
     appendCounter(out, "target_statements_total", "kind", "leaving", counters.leavingStated);
     appendCounter(out, "target_statements_total", "kind", "quiet", counters.quietStated);
     appendCounter(out, "target_statements_total", "kind", "requestRate", counters.rateStated);
+    appendCounter(out, "requests_held_by_rate_total", "", "", counters.heldByRate);
+    appendCounter(out, "attempts_called_back_total", "", "", counters.calledBack);
     for (const auto &[type, count] : counters.refusals)
         appendCounter(out, "refusals_total", "type", type, count);
     for (const auto &[result, count] : counters.attempts)
@@ -355,6 +357,8 @@
         this->targets->cancel(cancel->attempt);
     } else if (const auto *retireConnections = std::get_if<RetireConnections>(&effect)) {
         this->targets->retireConnections(retireConnections->address);
+    } else if (const auto *callBack = std::get_if<CallBackAttempts>(&effect)) {
+        this->targets->callBack(callBack->target);
     } else if (const auto *message = std::get_if<SendControl>(&effect)) {
         this->link->send(message->message);
     } else if (const auto *change = std::get_if<SwitchControlHost>(&effect)) {
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -317,6 +317,12 @@
         return;
     }
     if (!eligibleTargets(host, request.group, now).empty()) {
+        const std::optional<Duration> turn
+            = rateWait(host, request.group, countQueued(host.queue, request.group), now);
+        if (turn && now + *turn > latestDispatch(request)) {
+            refuseForRate(host, request.asked.request, *turn, effects, now);
+            return;
+        }
         const std::optional<Duration> wait = estimatedCompletionTime(host, request);
         if (wait && now + *wait > request.deadline) {
             refuse(host, request.asked.request, RefusalCode::Overloaded, effects, now, *wait);
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -67,6 +67,9 @@
     KnownTarget &target = it->second;
     target.running.erase(request.asked.request);
     const bool sameIncarnation = target.announcement.start == request.targetStart;
+    host.counters.calledBack += ended.calledBack ? 1 : 0;
+    if (ended.calledBack)
+        return;
     switch (ended.result) {
     case AttemptResult::Answered:
         recordAttemptOutcome(target.health, ended.status < 500, now);
@@ -75,7 +78,8 @@
         target.declinedInRow = 0;
         return;
     case AttemptResult::Refused:
-        target.overloaded += sameIncarnation ? 1 : 0;
+        // A target that limits its request rate has said what it can take.
+        target.overloaded += sameIncarnation && !target.requestRate ? 1 : 0;
         target.declinedUntil[request.group] = now
             + MIN_DECLINED_BACKOFF * (1 << std::min(target.declinedInRow, MAX_DECLINED_DOUBLINGS));
         ++target.declinedInRow;
@@ -115,7 +119,7 @@
     return broken && !request.asked.byRoute && ended.eventsRelayed > 0
         && request.attempts <= MAX_RESUMES && target != host.targets.end()
         && target->second.announcement.start == request.targetStart
-        && now < request.deadline - REFUSAL_MARGIN;
+        && hasRequest(target->second, now) && now < request.deadline - REFUSAL_MARGIN;
 }
 
 /** Starts an attempt that continues a broken stream at the same target. */
@@ -126,6 +130,7 @@
     ++request.attempts;
     KnownTarget &target = host.targets.at(request.target);
     target.running.insert(request.asked.request);
+    target.requests.spent += target.requestRate ? 1 : 0;
     request.attempt = AttemptId(++host.lastAttempt);
     host.attempts[request.attempt] = request.asked.request;
     beginTrial(host, request, now);
@@ -137,7 +142,8 @@
     start.address = target.announcement.address;
     start.remaining = request.deadline - now;
     start.deadline = request.deadline;
-    start.sendBy = latestSendTime(host, request, now);
+    start.sendBy = latestSendTime(host, request, target, now);
+    start.reportStatement = target.requestRate.has_value();
     start.firstByteLimit = std::min<Duration>(start.remaining, 5s);
     start.interByteLimit = 5s;
     start.freshConnection = true;
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -130,8 +130,15 @@
                         [&](RequestId id) { return host.requests.at(id).suspected; });
 }
 
+/** Counts a request once that waits for the request rate of a target. */
+void noteHeldByRate(Host &host, Request &request)
+{
+    host.counters.heldByRate += request.heldByRate ? 0 : 1;
+    request.heldByRate = true;
+}
+
 /** @return Targets that can take the request now. Free slots with an expired lease are returned. */
-std::vector<RoutingCandidate> candidatesFor(Host &host, const Request &request, TimePoint now)
+std::vector<RoutingCandidate> candidatesFor(Host &host, Request &request, TimePoint now)
 {
     std::vector<RoutingCandidate> candidates;
     const auto serving = host.targetsByGroup.find(request.group);
@@ -140,12 +147,19 @@
     if (!mayDispatchSuspectedParts(host, request, now))
         return candidates;
     const auto hinted = host.prefixHints.find(request.asked.prefix);
+    bool waitsForRate = false;
     for (const TargetId &id : serving->second) {
         KnownTarget &target = host.targets.at(id);
         if (now >= target.slots.expires && target.freeSlots() > 0)
             target.slots.returned += target.freeSlots(); // The leader has taken expired slots back.
-        if (!isEligible(host, target, request.group, now) || !hasSlot(host, target, request)
-            || !mayDispatchInWarmup(host, target, now) || !isolatesSuspects(host, target, request)
+        if (!isEligible(host, target, request.group, now))
+            continue;
+        if (!hasRequest(target, now)) {
+            waitsForRate = true;
+            continue;
+        }
+        if (!hasSlot(host, target, request) || !mayDispatchInWarmup(host, target, now)
+            || !isolatesSuspects(host, target, request)
             || !isolatesTrials(host, target, request, now))
             continue;
         RoutingCandidate candidate;
@@ -158,6 +172,8 @@
         candidate.freeSlots = static_cast<int>(target.freeSlots());
         candidates.push_back(candidate);
     }
+    if (waitsForRate && candidates.empty())
+        noteHeldByRate(host, request);
     return candidates;
 }
 
@@ -250,6 +266,7 @@
     target.running.insert(id);
     target.peak = std::max(target.peak, static_cast<double>(target.running.size()));
     target.lastUse = now;
+    target.requests.spent += target.requestRate ? 1 : 0;
     if (now < target.coldUntil)
         target.coldStartDue = now + warmupDispatchInterval(host, target);
     request.suspected = request.suspected || host.suspects.contains(request.asked.body);
@@ -264,7 +281,8 @@
     start.address = target.announcement.address;
     start.remaining = request.deadline - now;
     start.deadline = request.deadline;
-    start.sendBy = latestSendTime(host, request, now);
+    start.sendBy = latestSendTime(host, request, target, now);
+    start.reportStatement = target.requestRate.has_value();
     start.firstByteLimit = firstByteLimit(host, request);
     start.interByteLimit
         = request.asked.byRoute ? request.deadline - request.arrived : INTER_BYTE_TIMEOUT;
@@ -281,9 +299,11 @@
 
 } // namespace
 
-TimePoint latestSendTime(const Host &host, const Request &request, TimePoint now)
+TimePoint latestSendTime(const Host &host, const Request &request, const KnownTarget &target,
+                         TimePoint now)
 {
-    return std::min({host.freshUntil, request.deadline, now + MAX_SEND_DELAY});
+    return std::min(
+        {host.freshUntil, request.deadline, now + std::min(MAX_SEND_DELAY, maxSendDelay(target))});
 }
 
 std::vector<TargetId> eligibleTargets(const Host &host, const WorkGroup &group, TimePoint now)
@@ -354,7 +374,7 @@
         const auto known = blocked.find({group, workClass});
         if (known != blocked.end() && known->second)
             return false;
-        const Request &request = host.requests.at(id);
+        Request &request = host.requests.at(id);
         const bool free = !candidatesFor(host, request, now).empty();
         if (!free && !request.suspected && !needsTrial(host, request))
             blocked[{group, workClass}] = true;
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -91,14 +91,13 @@
     bool beginCounted = false;
     /** Until then the request may be dispatched with restricted parts; epoch: it has no trial. */
     TimePoint trialUntil;
+    bool heldByRate = false; ///< The request has waited for a target's request rate.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Request, asked, account, group, workClass,
-                                                repeatable, recorded, recordOwned, state, estimate,
-                                                charged, arrived, deadline, waitUntil, queuedAt,
-                                                dispatchedAt, attempt, correlation, target,
-                                                targetStart, attempts, runs, mostRuns, resumable,
-                                                tried, maySent, callerGone, eventsRelayed,
-                                                suspected, begunAt, beginCounted, trialUntil)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    Request, asked, account, group, workClass, repeatable, recorded, recordOwned, state, estimate,
+    charged, arrived, deadline, waitUntil, queuedAt, dispatchedAt, attempt, correlation, target,
+    targetStart, attempts, runs, mostRuns, resumable, tried, maySent, callerGone, eventsRelayed,
+    suspected, begunAt, beginCounted, trialUntil, heldByRate)
 
 /** A lost request that the leader's present suspicions may rest on. */
 struct HeldLoss
@@ -151,6 +150,13 @@
     TimePoint coldStartDue; ///< Earliest next dispatch by this host during the warm-up.
     std::map<WorkGroup, TimePoint> declinedUntil; ///< End of the back-off after a refusal.
     int declinedInRow = 0; ///< Consecutive refusals by the target.
+    /** Requests per second that the target takes from all hosts together; empty: no limit. */
+    std::optional<double> requestRate;
+    TimePoint rateKnownAt; ///< Time at which @c requestRate became known.
+    HeldPool requests; ///< Requests granted to this host while @c requestRate is set.
+    TimePoint turnAt; ///< Expected time of this host's next turn.
+    Duration turnInterval{}; ///< Expected time between two turns of this host.
+    std::optional<RateObservation> observedRate; ///< Latest observation of this host.
 
     /** @return Number of granted slots that are not in use; negative if too many are. */
     std::int64_t freeSlots() const
@@ -163,7 +169,8 @@
                                                 cancelling, peak, limit, share, succeeded,
                                                 overloaded, failed, health, lastUse, loadingUntil,
                                                 coldUntil, coldStartDue, declinedUntil,
-                                                declinedInRow)
+                                                declinedInRow, requestRate, rateKnownAt, requests,
+                                                turnAt, turnInterval, observedRate)
 
 /** A target that sends its announcements to this host. */
 struct LocalTarget
@@ -204,6 +211,8 @@
     std::uint64_t leavingStated = 0; ///< Answers whose target stated that it leaves.
     std::uint64_t quietStated = 0; ///< Answers whose target asked for a quiet period.
     std::uint64_t rateStated = 0; ///< Answers whose target stated a request rate limit.
+    std::uint64_t heldByRate = 0; ///< Requests that have waited for a target's request rate.
+    std::uint64_t calledBack = 0; ///< Attempts that were ended before they were sent.
     std::map<std::string, std::uint64_t> refusals; ///< Refused requests by refusal type.
     std::map<std::string, std::uint64_t> attempts; ///< Ended attempts by result.
     std::map<std::string, std::uint64_t> bounds; ///< Exceeded response limits by name.
@@ -214,8 +223,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostCounters, requests, answered, retries, resumed,
                                                 reports, callsReplayed, callsJoined, callerGone,
                                                 lostUnanswered, trials, leavingStated, quietStated,
-                                                rateStated, refusals, attempts, bounds, waits,
-                                                answers, refusalTimes)
+                                                rateStated, heldByRate, calledBack, refusals,
+                                                attempts, bounds, waits, answers, refusalTimes)
 
 /** Complete state of one host's decision logic. */
 struct Host
@@ -258,6 +267,9 @@
     /** Time of the latest response on each part that began without losing its target; bounded. */
     std::map<PromptPart, TimePoint> answeredParts;
 
+    /** Targets with a KnownTarget::observedRate that the leader has not confirmed; true: the last
+     * report contains it. */
+    std::map<TargetId, bool> unconfirmedRates;
     std::map<TargetId, LocalTarget> localTargets; ///< Targets that send announcements to this host.
     std::map<RequestId, CallReport> callReports; ///< Reports not acknowledged by the leader yet.
     /** Operator requests that the leader has not answered yet. */
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -33,6 +33,10 @@
 /** Refuses a request whose variant is not loaded; tells the caller to retry after @p wait. */
 void refuseUntilLoaded(Host &host, RequestId id, Duration wait, HostEffects &effects,
                        TimePoint now);
+/** @return Latest useful time of the request's first dispatch. */
+TimePoint latestDispatch(const Request &request);
+/** Expects a refused caller of the group to come back at time @p at. */
+void expectReturn(Host &host, const WorkGroup &group, TimePoint at);
 /** Refuses requests that have reached their deadline or waitUntil, and waiting requests after the
  * drain time of a shutdown. */
 void refuseExpired(Host &host, HostEffects &effects, TimePoint now);
@@ -55,6 +59,34 @@
 
 // Statements of targets in their answers.
 void onTargetStated(Host &host, const TargetStated &stated, HostEffects &effects, TimePoint now);
+/** Sets the request rate of a target. If a limit begins, attempts that are not sent yet are called
+ * back: they have no part in the rate. */
+void setRequestRate(KnownTarget &target, std::optional<double> rate, HostEffects &effects,
+                    TimePoint now);
+/** @return Whether the target's request rate allows this host a request now. */
+bool hasRequest(const KnownTarget &target, TimePoint now);
+/** @return Time from now within which a request to the target must leave; it is short if the target
+ * limits its request rate. */
+Duration maxSendDelay(const KnownTarget &target);
+/** Reports the use of a target's request rate. @param waiting Requests that wait for the target. */
+void reportRate(Host &host, KnownTarget &target, std::int64_t waiting, HostReport &report,
+                TimePoint now);
+/** Notes which observations the leader has got, as it has answered the latest report. */
+void confirmRates(Host &host);
+/** Makes the host report all its observations to a new leader. */
+void reportRatesAgain(Host &host);
+/** Takes over the leader's totals; extends their leases. */
+void applyRateGrants(Host &host, const HostGrant &grant, TimePoint expires, TimePoint now);
+/**
+ * @param position Number of queued requests of the group before the request.
+ * @return Time until the request can be sent, if all eligible targets limit their request rate.
+ */
+std::optional<Duration> rateWait(const Host &host, const WorkGroup &group, std::size_t position,
+                                 TimePoint now);
+/** Refuses a request whose turn at the targets with a limited rate comes too late. */
+void refuseForRate(Host &host, RequestId id, Duration wait, HostEffects &effects, TimePoint now);
+/** Refuses the queued requests whose turn comes too late. */
+void refuseLateTurns(Host &host, HostEffects &effects, TimePoint now);
 
 // Parts of prompts that may crash targets.
 /** Notes when the response of a running attempt began. */
@@ -123,7 +155,8 @@
 bool isFresh(const Host &host, TimePoint now);
 
 /** @return Time before which an attempt decided now must be sent. */
-TimePoint latestSendTime(const Host &host, const Request &request, TimePoint now);
+TimePoint latestSendTime(const Host &host, const Request &request, const KnownTarget &target,
+                         TimePoint now);
 
 /** @return Weight of the account in the fair queue; 1 if the account is unknown. */
 double weightOf(const Host &host, const AccountId &account);
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -109,10 +109,12 @@
     std::int64_t eventsRelayed = 0; ///< Stream events relayed to the caller so far.
     /** The target closed or reset the connection, which indicates a crash rather than a stall. */
     bool connectionLost = false;
+    bool calledBack = false; ///< Not sent because of CallBackAttempts.
     std::optional<StoredAnswer> answer; ///< Response to store; only for recorded calls.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AttemptEnded, attempt, result, bound, status,
-                                                tokens, eventsRelayed, connectionLost, answer)
+                                                tokens, eventsRelayed, connectionLost, calledBack,
+                                                answer)
 
 /** The first event of a streamed response was relayed; the attempt goes on. */
 struct ResponseBegan
@@ -289,6 +291,13 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RetireConnections, address)
 
+/** Ends the attempts at a target whose request has not been sent yet; AttemptEnded follows. */
+struct CallBackAttempts
+{
+    TargetId target;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallBackAttempts, target)
+
 /** Sends a message to the connected control host. */
 struct SendControl
 {
@@ -311,8 +320,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnswerOperator, answer)
 
-using HostEffect = std::variant<RefuseCaller, ReplayAnswer, StartAttempt, CancelAttempt,
-                                RetireConnections, SendControl, SwitchControlHost, AnswerOperator>;
+using HostEffect
+    = std::variant<RefuseCaller, ReplayAnswer, StartAttempt, CancelAttempt, RetireConnections,
+                   SendControl, SwitchControlHost, AnswerOperator, CallBackAttempts>;
 using HostEffects = std::vector<HostEffect>;
 
 } // namespace bilberry
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -32,6 +32,7 @@
         resetForNewTerm(target.slots);
         target.succeeded = target.overloaded = target.failed = 0;
     }
+    reportRatesAgain(host);
     for (auto &[id, local] : host.localTargets)
         local.changed = true;
     host.earlyReportRequested = true;
@@ -58,12 +59,13 @@
 
 void dropTarget(Host &host, const TargetId &id)
 {
+    host.unconfirmedRates.erase(id);
     removeFromIndex(host, id);
     host.targets.erase(id);
 }
 
 /** Applies a change of the target registry. */
-void applyRegistry(Host &host, const RegistryDelta &delta, TimePoint now)
+void applyRegistry(Host &host, const RegistryDelta &delta, HostEffects &effects, TimePoint now)
 {
     if (delta.full) {
         std::set<TargetId> listed;
@@ -85,6 +87,9 @@
         if (target.announcement.start != announcement.start)
             target = {};
         target.announcement = announcement;
+        // The leader's word replaces the host's, unless the leader does not know the host's yet.
+        if (!host.unconfirmedRates.contains(announcement.id) || !target.requestRate)
+            setRequestRate(target, announcement.requestRate, effects, now);
         target.declinedUntil.clear();
         target.loadingUntil.clear();
         for (const LoadingVariant &loading : announcement.loading)
@@ -122,7 +127,7 @@
         target->second.limit = item.limit;
         target->second.share = item.share;
     }
-    (void)now;
+    applyRateGrants(host, grant, expires, now);
 }
 
 /**
@@ -131,7 +136,8 @@
  * @return False if the configuration change could not be applied; the whole configuration is then
  *         requested again.
  */
-bool applySharedState(Host &host, const HostGrant &grant, bool late, TimePoint now)
+bool applySharedState(Host &host, const HostGrant &grant, bool late, HostEffects &effects,
+                      TimePoint now)
 {
     // A partial change applies only to a host that has a version of the table already.
     const bool fits = grant.table && (grant.table->full || host.table.value != 0);
@@ -144,7 +150,7 @@
     const auto known = std::pair(host.registryEpoch, host.registry);
     if (grant.registry
         && (!late || std::pair(grant.registry->epoch, grant.registry->version) > known))
-        applyRegistry(host, *grant.registry, now);
+        applyRegistry(host, *grant.registry, effects, now);
     host.freshUntil = std::max(host.freshUntil, grant.sentAt + host.settings.freshnessLease);
     return true;
 }
@@ -161,13 +167,14 @@
     // A grant that answers an older report: its configuration and registry are valid, but its
     // totals may not include the amounts in later reports.
     if (grant.sequence != host.reportSequence) {
-        (void)applySharedState(host, grant, true, now);
+        (void)applySharedState(host, grant, true, effects, now);
         return;
     }
     host.awaitingGrant = false;
     const bool sameTerm = host.term == grant.term;
+    confirmRates(host);
     changeTerm(host, grant.term);
-    if (!applySharedState(host, grant, false, now))
+    if (!applySharedState(host, grant, false, effects, now))
         return;
     for (auto &[id, local] : host.localTargets)
         local.changed = local.changed && local.heard > host.reportSentAt;
@@ -192,8 +199,10 @@
         effects.push_back(SwitchControlHost{"", grant.controlHosts});
     }
     // The totals in the first grant of a term do not include what this host carried over into it.
-    if (sameTerm)
+    if (sameTerm) {
         applyGrants(host, grant, now);
+        refuseLateTurns(host, effects, now);
+    }
     // Confirms the new versions to the leader at once, in small clusters only: in large ones, some
     // target changes all the time, and each change would cause an early report from every host.
     if ((grant.table || grant.registry) && host.hostCount <= SMALL_CLUSTER_HOSTS)
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -200,6 +200,7 @@
     int waiting = 0;
     for (const auto &[account, count] : demand)
         waiting += count;
+    reportRate(host, target, waiting, report, now);
     for (const RequestId id : target.running)
         ++demand[host.requests.at(id).account];
     const auto running
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -61,6 +61,13 @@
             host.cancelling[request.attempt] = request.target;
         }
     }
+    const std::optional<Duration> turn = request.state == RequestState::Queued
+        ? rateWait(host, request.group, 0, now)
+        : std::nullopt;
+    if (turn) {
+        refuseForRate(host, id, *turn, effects, now);
+        return;
+    }
     // The refusal code tells the caller whether a longer time limit would have helped.
     const bool noTarget
         = request.state == RequestState::Queued && !hasEligibleTarget(host, request.group, now);
@@ -108,13 +115,23 @@
     finish(host, id, 0, request.maySent, now);
 }
 
-void refuseUntilLoaded(Host &host, RequestId id, Duration wait, HostEffects &effects, TimePoint now)
+TimePoint latestDispatch(const Request &request)
+{
+    const bool isLimited = request.waitUntil != TimePoint{} && request.eventsRelayed == 0;
+    return isLimited ? std::min(request.waitUntil, request.deadline) : request.deadline;
+}
+
+void expectReturn(Host &host, const WorkGroup &group, TimePoint at)
 {
-    const Request &request = host.requests.at(id);
-    std::deque<TimePoint> &returns = host.groups[request.group].returns;
+    std::deque<TimePoint> &returns = host.groups[group].returns;
     if (returns.size() < MAX_EXPECTED_RETRIES)
-        returns.push_back(now + wait);
+        returns.push_back(at);
     host.earlyReportRequested = true;
+}
+
+void refuseUntilLoaded(Host &host, RequestId id, Duration wait, HostEffects &effects, TimePoint now)
+{
+    expectReturn(host, host.requests.at(id).group, now + wait);
     refuse(host, id, RefusalCode::NoTarget, effects, now, wait);
 }
 
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -62,6 +62,22 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SlotUse, target, start, slots, succeeded,
                                                 overloaded, failed, limit, busyFor, demand)
 
+/** A target's request rate as a host knows it, and the host's use of the requests granted to it. */
+struct RateUse
+{
+    TargetId target;
+    Incarnation start;
+    PoolUse requests;
+    std::optional<double>
+        rate; ///< In requests per second, for all hosts together; empty: no limit.
+    /** Whether an answer to this host stated the rate; else the host knows it from a leader. */
+    bool observed = false;
+    Duration madeAfterAge{}; ///< Age of RateObservation::madeAfter when the report was sent.
+    Duration madeBeforeAge{}; ///< Age of RateObservation::madeBefore when the report was sent.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RateUse, target, start, requests, rate, observed,
+                                                madeAfterAge, madeBeforeAge)
+
 /** Use of a model or adapter at one host since its last report. */
 struct VariantUse
 {
@@ -122,13 +138,14 @@
     std::vector<LostRequest> lostRequests; ///< Losses that the leader has not acknowledged.
     std::vector<AnsweredPart> answeredParts; ///< Latest responses on suspected parts.
     std::vector<PromptPart> trialsWanted; ///< Restricted parts of queued requests.
+    std::vector<RateUse> rates; ///< Targets with a limited request rate.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostReport, holder, zone, sequence, sentAt, term,
                                                 table, registryEpoch, registry, membershipIndex,
                                                 suspectsVersion, leaving, entry, member, accounts,
                                                 slots, variants, targets, alive, targetsLeft,
                                                 suspicions, cleared, lostRequests, answeredParts,
-                                                trialsWanted)
+                                                trialsWanted, rates)
 
 /** Asks the leader to record a call before its dispatch, or for the outcome of a recorded call. */
 struct CallQuery
@@ -216,6 +233,17 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SlotGrant, target, start, slots, limit, share)
 
+/** Requests to a target with a limited request rate that are granted to a host. */
+struct RateGrant
+{
+    TargetId target;
+    Incarnation start;
+    std::int64_t requests = 0; ///< Requests granted in this term, in total.
+    Duration wait{}; ///< Expected time until the host's next turn.
+    Duration interval{}; ///< Expected time between two turns of the host.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RateGrant, target, start, requests, wait, interval)
+
 /** Answer of the leader to a report. */
 struct HostGrant
 {
@@ -240,11 +268,12 @@
     int hostRank = 0; ///< Rank of the receiver among those hosts, from 0.
     std::vector<SuspectedPart> suspectedParts; ///< Parts of prompts that may crash targets.
     std::vector<PromptPart> trials; ///< Parts with which the host may dispatch one request each.
+    std::vector<RateGrant> rates; ///< For the targets in HostReport::rates.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostGrant, sequence, sentAt, term, table, registry,
                                                 accounts, slots, membershipIndex, controlHosts,
                                                 clock, suspectsVersion, suspects, unknownTargets,
-                                                hostCount, hostRank, suspectedParts, trials)
+                                                hostCount, hostRank, suspectedParts, trials, rates)
 
 /** Answer to CallQuery: verdict on a call, or the outcome of a call that the request joined. */
 struct CallAnswer
@@ -272,7 +301,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OperatorAnswer, id, error, body)
 
-/** Asks a host to return its unspent budgets of these accounts immediately. */
+/** Asks a host to report, and to return its unspent budgets of these accounts, immediately. */
 struct BudgetRecall
 {
     std::vector<AccountId> accounts;
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -47,7 +47,7 @@
     {
         return std::tie(v.id, v.address, v.kind, v.zone, v.service, v.memoryMb, v.maxConcurrent,
                         v.start, v.loaded, v.cached, v.loading, v.failing, v.leaving, v.lastOrder,
-                        v.failedOrders, v.coldFor, v.sequence);
+                        v.failedOrders, v.coldFor, v.sequence, v.requestRate);
     }
 };
 template <> struct Fields<PoolUse>
@@ -70,6 +70,18 @@
                         v.busyFor, v.demand);
     }
 };
+template <> struct Fields<RateUse>
+{
+    static auto of(auto &v)
+    {
+        return std::tie(v.target, v.start, v.requests, v.rate, v.observed, v.madeAfterAge,
+                        v.madeBeforeAge);
+    }
+};
+template <> struct Fields<RateGrant>
+{
+    static auto of(auto &v) { return std::tie(v.target, v.start, v.requests, v.wait, v.interval); }
+};
 template <> struct Fields<VariantUse>
 {
     static auto of(auto &v)
@@ -109,7 +121,7 @@
                         v.registry, v.membershipIndex, v.suspectsVersion, v.leaving, v.entry,
                         v.member, v.accounts, v.slots, v.variants, v.targets, v.alive,
                         v.targetsLeft, v.suspicions, v.cleared, v.lostRequests, v.answeredParts,
-                        v.trialsWanted);
+                        v.trialsWanted, v.rates);
     }
 };
 template <> struct Fields<RegistryDelta>
@@ -133,7 +145,8 @@
     {
         return std::tie(v.sequence, v.sentAt, v.term, v.registry, v.accounts, v.slots,
                         v.membershipIndex, v.controlHosts, v.clock, v.suspectsVersion, v.suspects,
-                        v.unknownTargets, v.hostCount, v.hostRank, v.suspectedParts, v.trials);
+                        v.unknownTargets, v.hostCount, v.hostRank, v.suspectedParts, v.trials,
+                        v.rates);
     }
 };
 
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -36,6 +36,12 @@
     AttemptId attempt;
 };
 
+/** Task: ends the attempts at a target that are not sent yet. */
+struct CallBack
+{
+    TargetId target;
+};
+
 /** Task: stops the reuse of the pooled connections to an address that are idle now. */
 struct RetireIdleConnections
 {
@@ -48,8 +54,8 @@
     AttemptId attempt;
 };
 
-using Task
-    = std::variant<StartAttempt, Cancel, RetireIdleConnections, Unpause, SendOrder, InspectTarget>;
+using Task = std::variant<StartAttempt, Cancel, RetireIdleConnections, Unpause, SendOrder,
+                          InspectTarget, CallBack>;
 
 /** HTTP transfer of an order or of an inspection. */
 struct ControlTransfer
@@ -232,6 +238,15 @@
             this->conclude(it, CURLE_ABORTED_BY_CALLBACK, false, true);
     }
 
+    void handle(const CallBack &callBack)
+    {
+        for (auto it = this->transfers.begin(); it != this->transfers.end();) {
+            const auto transfer = it++;
+            if (transfer->second->attempt.target == callBack.target && !transfer->second->isSent())
+                this->conclude(transfer, CURLE_ABORTED_BY_CALLBACK, false, false, true);
+        }
+    }
+
     void handle(const RetireIdleConnections &task)
     {
         this->retiredAt[task.address] = MonotonicClock::now();
@@ -335,10 +350,12 @@
 
     using Transfers = std::map<AttemptId, std::unique_ptr<Transfer>>;
 
-    void conclude(Transfers::iterator it, CURLcode code, bool stalled, bool cancelled)
+    void conclude(Transfers::iterator it, CURLcode code, bool stalled, bool cancelled,
+                  bool calledBack = false)
     {
         curl_multi_remove_handle(this->multi, it->second->handle());
         AttemptEnded ended = it->second->conclude(code, stalled, cancelled);
+        ended.calledBack = calledBack;
         this->transfers.erase(it);
         this->onAttemptEvent(std::move(ended));
     }
@@ -435,6 +452,11 @@
     this->impl->taskQueue.push(Cancel{attempt});
 }
 
+void TargetClient::callBack(TargetId target)
+{
+    this->impl->taskQueue.push(CallBack{std::move(target)});
+}
+
 void TargetClient::retireConnections(std::string address)
 {
     this->impl->taskQueue.push(RetireIdleConnections{std::move(address)});
--- a/src/net/target_client_base.h
+++ b/src/net/target_client_base.h
@@ -40,6 +40,8 @@
     /** Ends an attempt as AttemptResult::Cancelled; no effect if it has ended already. */
     void cancel(AttemptId attempt);
     /** Stops the reuse of pooled connections to @p address that are idle now. */
+    /** Ends the attempts at @p target whose request has not been sent yet. */
+    void callBack(TargetId target);
     void retireConnections(std::string address);
     /** Sends an order. @return False if the queue is full; nothing was sent then. */
     bool sendOrder(SendOrder order);
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -34,6 +34,9 @@
 
     CURL *handle() const { return this->easy; }
 
+    /** @return Whether the request is being sent or has been sent. */
+    bool isSent() const { return this->sentAt != TimePoint{}; }
+
     /** Allows only pooled connections that were idle for at most @p seconds; 0: a new connection.
      */
     void limitConnectionIdleTime(std::int64_t seconds);
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -41,6 +41,13 @@
         && pass.now < reservation->second.until && reservation->second.variant != variant;
 }
 
+/** @return Whether the model may be loaded on the target, if it fits: the target does not limit its
+ * request rate, and no memory is reserved for another model. */
+bool mayTakeModel(const Pass &pass, const TargetFacts &target, const Variant &model)
+{
+    return !target.entry->requestRate && !isReservedForOther(pass, target, model);
+}
+
 /** @return Whether a replica of the variant is on the target or decided for it, in any state. */
 bool hasVariant(const Pass &pass, const TargetFacts &target, const Variant &variant)
 {
@@ -211,7 +218,7 @@
         if (target.freeMb < need.memoryMb || !canTakeOrder(pass, target)
             || target.announcement().service != need.service
             || (!need.isModel() && target.freeAdapters < 1)
-            || (need.isModel() && isReservedForOther(pass, target, need.variant))
+            || (need.isModel() && !mayTakeModel(pass, target, need.variant))
             || hasVariant(pass, target, need.variant))
             continue;
         int inZone = 0;
@@ -298,7 +305,7 @@
         const CacheTier tier = tierOf(target.announcement(), need.variant.model);
         if (!canTakeOrder(pass, target) || hasVariant(pass, target, need.variant)
             || target.announcement().service != need.service
-            || (need.isModel() && isReservedForOther(pass, target, need.variant))
+            || (need.isModel() && !mayTakeModel(pass, target, need.variant))
             || (onlyCached && tier == CacheTier::Remote))
             continue;
         std::optional<std::vector<std::size_t>> chosen = selectVictims(pass, target, need);
@@ -346,7 +353,7 @@
     TargetFacts &target = pass.targets[pass.targetIndex.at(facts.changed->target)];
     ++target.orders;
     target.evictable.reset();
-    VariantCounts &counts = pass.counts.at(facts.changed->variant);
+    VariantCounts &counts = pass.counts[facts.changed->variant];
     --counts.present;
     --counts.ready;
     pass.decision.put.push_back(*facts.changed);
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -22,6 +22,13 @@
 constexpr Duration MAX_INSPECTION_STALENESS = 700ms;
 constexpr Duration INSPECTION_INTERVAL = 500ms; ///< Minimum time between inspections of a target.
 
+/** @return Whether the target's request rate allows an order or an inspection, which is taken out
+ * of it. */
+bool tryTake(const PlacementInput &input, const TargetId &target)
+{
+    return !input.takeForOrder || input.takeForOrder(target);
+}
+
 /** @return Whether the target is configured to check fencing tokens. */
 bool isFenced(const PlacementInput &input, const TargetId &target)
 {
@@ -113,14 +120,15 @@
  * @return Whether the number of orders that the target has accepted is known. If not, an inspection
  * is added to @p due, unless its reply could be stale or the target was inspected recently.
  */
-bool hasAcceptedCount(Planner &planner, const Replica &replica, DueOrders &due, TimePoint now)
+bool hasAcceptedCount(Planner &planner, const PlacementInput &input, const Replica &replica,
+                      DueOrders &due, TimePoint now)
 {
     AcceptedOrders &accepted = acceptedOrdersOf(planner, replica.target, replica.start);
     if (accepted.count)
         return true;
     const bool replyIsCurrent = now >= accepted.uncertainSince + MAX_INSPECTION_STALENESS;
     const bool recentlyInspected = now < accepted.inspectedAt + INSPECTION_INTERVAL;
-    if (replyIsCurrent && !recentlyInspected) {
+    if (replyIsCurrent && !recentlyInspected && tryTake(input, replica.target)) {
         accepted.inspectedAt = now;
         due.inspections.push_back(replica.target);
     }
@@ -245,10 +253,15 @@
             planner.reissues.insert(*id);
             continue;
         }
-        if (usesPrecondition && !hasAcceptedCount(planner, *replica, due, now))
+        if (usesPrecondition && !hasAcceptedCount(planner, input, *replica, due, now))
             continue;
         if (usesPrecondition && isLoad && !checkRoom(planner, input, *id, *replica, due, now))
             continue;
+        // An earlier leader may have sent this load, and the target would carry out a repeat. The
+        // order is recorded but not sent; the target's inventory shows its outcome.
+        const bool isRecordedOnly = isInherited && !fenced && isLoad;
+        if (!isRecordedOnly && !tryTake(input, replica->target))
+            continue;
         OutstandingOrder order = makeOrder(*replica, now);
         if (usesPrecondition) {
             AcceptedOrders &accepted = planner.acceptedOrders[replica->target];
@@ -256,9 +269,7 @@
             accepted.highestSent = replica->fencing;
         }
         planner.orders[*id] = order;
-        // An earlier leader may have sent this load, and the target would carry out a repeat. The
-        // order is recorded but not sent; the target's inventory shows its outcome.
-        if (isInherited && !fenced && isLoad)
+        if (isRecordedOnly)
             continue;
         due.orders.push_back(order);
     }
--- a/src/placement/planner_func.h
+++ b/src/placement/planner_func.h
@@ -11,6 +11,9 @@
     const ClusterView &view;
     const TargetRegistry &registry;
     FencingToken lastFencing; ///< Highest fencing token in the committed state.
+    /** Takes an order or an inspection out of the target's request rate. Returns whether the rate
+     * allows it now; null: no target limits its rate. */
+    std::function<bool(const TargetId &)> takeForOrder{};
 };
 
 /** Result of one pass. The caller commits the changes before issueDueOrders() issues orders for
--- a/src/placement/reconcile.cpp
+++ b/src/placement/reconcile.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** Requests that would wait longer for the request rate of a target speak for another replica. */
+constexpr Duration MAX_RATE_WAIT = 2s;
+
 constexpr Duration FAILED_VARIANT_BACKOFF = 1s; ///< No new load of a variant after a failed load.
 
 /** @return Whether the announcement lists the replica's variant and, if recorded, its version. */
@@ -165,6 +168,17 @@
     }
 }
 
+/** @return Whether more requests wait for the variant than a target with a limited request rate
+ * takes soon, so that its replica does not count as one. */
+bool lacksRate(const Pass &pass, const TargetFacts &target, const Variant &variant)
+{
+    const auto history = pass.planner.history.find(variant);
+    if (!target.entry->requestRate || history == pass.planner.history.end())
+        return false;
+    const double takesSoon = std::max(*target.entry->requestRate * toSeconds(MAX_RATE_WAIT), 1.0);
+    return history->second.waiting + history->second.returning > takesSoon;
+}
+
 /** Adds a replica to the resource use of its target and to the counts of its variant. */
 void accountReplica(Pass &pass, const ReplicaFacts &facts, std::size_t targetIndex)
 {
@@ -178,7 +192,8 @@
         pass.adapterLoads += isModel ? 0 : 1;
         pass.storeLoads += isModel && !pass.planner.loadsFromCache.contains(*facts.id) ? 1 : 0;
     }
-    if (replica.state == ReplicaState::Unloading || !target.serving)
+    if (replica.state == ReplicaState::Unloading || !target.serving
+        || lacksRate(pass, target, replica.variant))
         return;
     VariantCounts &counts = pass.counts[replica.variant];
     ++counts.present;
--- a/src/target/registry.cpp
+++ b/src/target/registry.cpp
@@ -31,8 +31,10 @@
         return AnnounceOutcome::Stale;
     TargetEntry &entry = registry.targets[announcement.id];
     entry.heard = now;
-    if (restarted)
+    if (restarted) {
         entry.left = false;
+        entry.requestRate.reset();
+    }
     if (entry.left)
         return AnnounceOutcome::Unchanged;
     if (!restarted && equalExceptSequence(entry.announcement, announcement)) {
--- a/src/target/registry_base.h
+++ b/src/target/registry_base.h
@@ -17,11 +17,12 @@
     TargetAnnouncement announcement; ///< Latest announcement.
     TimePoint heard; ///< Time of the last heartbeat, by the leader's clock.
     bool failing = false; ///< Fails often; hosts receive this flag in the announcement.
+    std::optional<double> requestRate; ///< TargetAnnouncement::requestRate for hosts.
     bool left = false; ///< The target has announced its shutdown; late announcements may follow.
     Version modified; ///< Registry version of the last change of this entry.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetEntry, announcement, heard, failing, left,
-                                                modified)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetEntry, announcement, heard, failing,
+                                                requestRate, left, modified)
 
 /** A removed target; kept so that its late announcements are ignored. */
 struct EndedTarget
--- a/src/target/target_type.h
+++ b/src/target/target_type.h
@@ -81,13 +81,16 @@
     std::vector<FencingToken> failedOrders; ///< Fencing tokens of the latest failed orders.
     Duration coldFor{}; ///< Remaining warm-up time with reduced capacity, as announced.
     std::uint64_t sequence = 0; ///< Per incarnation, increasing; 0: not numbered.
+    /** Requests per second that the target takes from all hosts together; empty: no limit. Set by
+     * the leader from answers of the target, never announced by it. */
+    std::optional<double> requestRate;
 
     friend bool operator==(const TargetAnnouncement &, const TargetAnnouncement &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetAnnouncement, id, address, kind, zone,
                                                 service, memoryMb, maxConcurrent, start, loaded,
                                                 cached, loading, failing, leaving, lastOrder,
-                                                failedOrders, coldFor, sequence)
+                                                failedOrders, coldFor, sequence, requestRate)
 
 /** @return Whether two announcements are equal except for their sequence numbers. */
 inline bool equalExceptSequence(const TargetAnnouncement &a, TargetAnnouncement b)
--- a/src/tests/target_rate_test.cpp
+++ b/src/tests/target_rate_test.cpp
@@ -335,7 +335,9 @@
             continue;
         ++refused;
         late += outcome->second.at > at + 500ms ? 1 : 0;
-        cr_expect(outcome->second.refusal.retryAfter.has_value());
+        cr_expect(outcome->second.refusal.retryAfter.has_value(), "refused as %d after %d ms",
+                  static_cast<int>(outcome->second.refusal.code),
+                  static_cast<int>((outcome->second.at - at).count() / 1000));
         retryAfterMs.insert(outcome->second.refusal.retryAfter.value_or(Duration::zero()).count()
                             / 1000);
     }
