--- /dev/null
+++ b/src/tests/answer_fault_test.cpp
@@ -0,0 +1,435 @@
+/** @file answer_fault_test.cpp Faulty answers of targets, and what targets state in the heads of
+ * their answers, on real connections. */
+#include "net/native_edge_func.h"
+#include "net/target_client_base.h"
+#include "platform/edge_func.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <arpa/inet.h>
+#include <atomic>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+using namespace bilberry;
+
+namespace {
+
+constexpr Duration WAIT_TIMEOUT = 5s;
+constexpr Duration REQUEST_TIMEOUT = 20s; ///< Far longer than WAIT_TIMEOUT.
+constexpr const char *CALLER_ID = "r-1"; ///< Request id of the caller on the platform.
+
+/** Answer to one request; "$ID" is replaced by the correlation id of the request's attempt. */
+struct ScriptedAnswer
+{
+    std::string text;
+    bool closes = false; ///< Closes the connection after the answer.
+};
+
+/** Target that answers the requests in the order of their arrival, on any connection. */
+class ScriptedTarget
+{
+public:
+    explicit ScriptedTarget(std::vector<ScriptedAnswer> script)
+        : script(std::move(script))
+        , socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in bound{};
+        bound.sin_family = AF_INET;
+        bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(bound);
+        cr_assert_eq(bind(this->socket, reinterpret_cast<sockaddr *>(&bound), size), 0);
+        cr_assert_eq(listen(this->socket, 16), 0);
+        getsockname(this->socket, reinterpret_cast<sockaddr *>(&bound), &size);
+        this->address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+        this->thread = std::thread([this]() { this->run(); });
+    }
+
+    ~ScriptedTarget()
+    {
+        this->stopping = true;
+        this->thread.join();
+        close(this->socket);
+    }
+
+    std::string address;
+    std::atomic<int> connections{0};
+    std::atomic<std::size_t> requests{0};
+
+private:
+    void run()
+    {
+        std::vector<pollfd> sockets{{this->socket, POLLIN, 0}};
+        std::vector<std::string> got{""};
+        while (!this->stopping) {
+            poll(sockets.data(), sockets.size(), 10);
+            if ((sockets[0].revents & POLLIN) != 0) {
+                ++this->connections;
+                sockets.push_back({accept(this->socket, nullptr, nullptr), POLLIN, 0});
+                got.emplace_back();
+            }
+            for (std::size_t i = 1; i < sockets.size(); ++i)
+                this->read(sockets[i], got[i]);
+        }
+        for (std::size_t i = 1; i < sockets.size(); ++i) {
+            if (sockets[i].fd >= 0)
+                close(sockets[i].fd);
+        }
+    }
+
+    void read(pollfd &connection, std::string &got)
+    {
+        char buffer[4096];
+        const ssize_t size
+            = connection.fd < 0 ? -1 : recv(connection.fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        got.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+        if (size == 0)
+            connection.events = 0;
+        if (got.find("\r\n\r\n") == std::string::npos || this->requests >= this->script.size())
+            return;
+        const ScriptedAnswer &answer = this->script[this->requests++];
+        const std::string text = withId(answer.text, got);
+        (void)!write(connection.fd, text.data(), text.size());
+        got.clear();
+        if (answer.closes) {
+            close(connection.fd);
+            connection.fd = -1;
+        }
+    }
+
+    static std::string withId(std::string text, const std::string &request)
+    {
+        static const std::string NAME = "X-Correlation-Id: ";
+        const std::size_t at = request.find(NAME);
+        const std::string id = at == std::string::npos
+            ? CALLER_ID
+            : request.substr(at + NAME.size(), request.find('\r', at) - at - NAME.size());
+        for (std::size_t mark = text.find("$ID"); mark != std::string::npos;
+             mark = text.find("$ID"))
+            text.replace(mark, 3, id);
+        return text;
+    }
+
+    std::vector<ScriptedAnswer> script;
+    int socket;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+/** Sends the attempts of one caller's request and records what is reported about them. */
+struct Caller
+{
+    explicit Caller(const Edge &edge)
+        : edge(edge)
+        , exchanges(std::make_shared<ExchangeTable>())
+        , exchange(exchanges->add(RequestId(1)))
+        , client(
+              exchanges, edge, "host", [this](HostEvent &&event) { this->record(event); },
+              [](ControlEvent &&) {})
+    {
+        this->exchange->forwarded.method = "GET";
+        this->exchange->forwarded.path = "/p";
+        this->exchange->forwarded.correlation = CALLER_ID;
+        this->exchange->forwarded.headers = {{"X-Bilberrybend-Request-Id", CALLER_ID}};
+    }
+
+    void record(const HostEvent &event)
+    {
+        absl::MutexLock lock(&this->mutex);
+        if (const auto *attempt = std::get_if<AttemptEnded>(&event))
+            this->ended = *attempt;
+        else if (const auto *stated = std::get_if<TargetStated>(&event))
+            this->stated = *stated;
+    }
+
+    void start(const std::string &address, std::int64_t resumeAfter = 0)
+    {
+        const TimePoint now = MonotonicClock::now();
+        {
+            absl::MutexLock lock(&this->mutex);
+            this->ended.reset();
+        }
+        StartAttempt attempt;
+        attempt.attempt = AttemptId(++this->attempts);
+        attempt.correlation = resumeAfter > 0 ? AttemptId(1) : attempt.attempt;
+        attempt.request = RequestId(1);
+        attempt.target = TargetId("t");
+        attempt.address = address;
+        attempt.remaining = REQUEST_TIMEOUT;
+        attempt.deadline = now + REQUEST_TIMEOUT;
+        attempt.sendBy = now + REQUEST_TIMEOUT;
+        attempt.firstByteLimit = attempt.interByteLimit = REQUEST_TIMEOUT;
+        attempt.resumeAfter = resumeAfter;
+        cr_assert(this->client.start(attempt));
+    }
+
+    std::optional<AttemptEnded> waitEnded()
+    {
+        absl::MutexLock lock(&this->mutex);
+        const auto hasEnded = [this]() { return this->ended.has_value(); };
+        this->mutex.AwaitWithTimeout(absl::Condition(&hasEnded),
+                                     absl::Microseconds(WAIT_TIMEOUT.count()));
+        return this->ended;
+    }
+
+    /** @return How an attempt to @p address ended. */
+    AttemptResult send(const std::string &address, std::int64_t resumeAfter = 0)
+    {
+        this->start(address, resumeAfter);
+        const std::optional<AttemptEnded> end = this->waitEnded();
+        cr_assert(end, "the attempt did not end");
+        return end->result;
+    }
+
+    std::optional<TargetStated> waitStated()
+    {
+        absl::MutexLock lock(&this->mutex);
+        const auto hasStated = [this]() { return this->stated.has_value(); };
+        this->mutex.AwaitWithTimeout(absl::Condition(&hasStated),
+                                     absl::Microseconds(WAIT_TIMEOUT.count()));
+        return this->stated;
+    }
+
+    bool answerBegun() const
+    {
+        absl::MutexLock lock(&this->exchange->mutex);
+        return this->exchange->begun;
+    }
+
+    bool answerEnded() const
+    {
+        absl::MutexLock lock(&this->exchange->mutex);
+        return this->exchange->ended;
+    }
+
+    std::string relayed() const
+    {
+        absl::MutexLock lock(&this->exchange->mutex);
+        return this->exchange->buffer;
+    }
+
+    const Edge &edge;
+    absl::Mutex mutex;
+    std::optional<AttemptEnded> ended;
+    std::optional<TargetStated> stated;
+    std::uint64_t attempts = 0;
+    std::shared_ptr<ExchangeTable> exchanges;
+    std::shared_ptr<Exchange> exchange;
+    TargetClient client;
+};
+
+/** One interface towards targets, with the headers that make an answer belong to its attempt. */
+struct Interface
+{
+    const char *name;
+    const Edge &edge;
+    std::string identity;
+    std::string notRun;
+    std::string leaving;
+};
+
+std::vector<Interface> interfaces()
+{
+    return {{"native", nativeEdge(), "X-Correlation-Id: $ID\r\n", "X-Execution: not-run\r\n",
+             "X-Target-Leaving: 1\r\n"},
+            {"platform", platformEdge(),
+             "X-Bilberrybend-Request-Id: $ID\r\nX-Bilberrybend-Server-Seal: s\r\n",
+             "X-Bilberrybend-Not-Executed: 1\r\n", "Server-Leaving: 1\r\n"}};
+}
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int number = first; number <= last; ++number)
+        text += "id: " + std::to_string(number) + "\ndata: x" + std::to_string(number) + "\n\n";
+    return text;
+}
+
+std::string streamHead(const Interface &protocol)
+{
+    return "HTTP/1.1 200 OK\r\n" + protocol.identity + "Content-Type: text/event-stream\r\n";
+}
+
+std::string withLength(const std::string &body)
+{
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** @return Stream of two events that breaks off. */
+ScriptedAnswer brokenStream(const Interface &protocol)
+{
+    return {streamHead(protocol) + "Content-Length: 1000\r\n\r\n" + events(1, 2), true};
+}
+
+} // namespace
+
+// Guards against a complete answer with an empty body for a target that stopped in the middle of
+// the head of its answer and closed.
+Test(answer_fault, an_answer_that_ends_inside_its_head_is_not_complete, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + protocol.identity;
+        const std::string stream = streamHead(protocol);
+        for (const std::string &text :
+             {std::string("HTTP/1.1 200 OK\r\n"), head, head + "Content-Ty", head + "X-A: b\r",
+              stream, stream + "X-Half"}) {
+            ScriptedTarget target({{text, true}});
+            Caller caller(protocol.edge);
+            const AttemptResult result = caller.send(target.address);
+            cr_expect_neq(result, AttemptResult::Answered, "%s: %s", protocol.name, text.c_str());
+            cr_expect_neq(result, AttemptResult::Refused, "%s: %s", protocol.name, text.c_str());
+            cr_expect_not(caller.answerBegun(), "%s: %s", protocol.name, text.c_str());
+        }
+    }
+}
+
+// Guards against the text of an error, or a complete end, in the middle of a caller's stream when
+// the target that was to go on with it answers with something else.
+Test(answer_fault, what_does_not_go_on_with_a_stream_is_not_relayed, .timeout = 120)
+{
+    for (const Interface &protocol : interfaces()) {
+        std::vector<std::string> answers;
+        for (const char *status : {"400 Bad Request", "404 Not Found", "409 Conflict",
+                                   "500 Internal Server Error", "503 Service Unavailable"})
+            answers.push_back(std::string("HTTP/1.1 ") + status + "\r\n" + protocol.identity
+                              + withLength("error text"));
+        answers.push_back("HTTP/1.1 200 OK\r\n" + protocol.identity
+                          + "Content-Type: application/json\r\n" + withLength("{}"));
+        answers.push_back("HTTP/1.1 200 OK\r\n" + protocol.identity + withLength(""));
+        if (&protocol.edge == &platformEdge()) {
+            answers.push_back(streamHead(protocol) + withLength(events(1, 4)));
+            answers.push_back(streamHead(protocol) + withLength(events(2, 4)));
+        }
+        for (const std::string &answer : answers) {
+            ScriptedTarget target({brokenStream(protocol), {answer, true}});
+            Caller caller(protocol.edge);
+            cr_assert_eq(caller.send(target.address), AttemptResult::Lost);
+            const std::string before = caller.relayed();
+            cr_assert_eq(before, events(1, 2));
+            const AttemptResult result = caller.send(target.address, 2);
+            cr_expect_neq(result, AttemptResult::Answered, "%s: %s", protocol.name, answer.c_str());
+            cr_expect_eq(caller.relayed(), before, "%s: %s", protocol.name, answer.c_str());
+            cr_expect_not(caller.answerEnded(), "%s: %s", protocol.name, answer.c_str());
+        }
+    }
+}
+
+// Guards against checks so strict that a stream that goes on where it stopped is broken off.
+Test(answer_fault, a_stream_that_goes_on_where_it_stopped_is_relayed, .timeout = 60)
+{
+    const Interface protocol = interfaces()[1];
+    ScriptedTarget target(
+        {brokenStream(protocol), {streamHead(protocol) + withLength(events(3, 5)), false}});
+    Caller caller(protocol.edge);
+    cr_assert_eq(caller.send(target.address), AttemptResult::Lost);
+    cr_assert_eq(caller.send(target.address, 2), AttemptResult::Answered);
+    cr_assert_eq(caller.relayed(), events(1, 5));
+    cr_assert(caller.answerEnded());
+}
+
+// Guards against a refusal that the target writes once more on a kept connection and that passes
+// for the answer to the next request there.
+Test(answer_fault, a_connection_that_carried_a_refusal_is_not_used_again, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n" + protocol.identity
+            + protocol.notRun + withLength("full");
+        const std::string answer = "HTTP/1.1 200 OK\r\n" + protocol.identity + withLength("ok");
+        ScriptedTarget target({{refusal, false}, {answer, false}});
+        Caller caller(protocol.edge);
+        cr_expect_eq(caller.send(target.address), AttemptResult::Refused, "%s", protocol.name);
+        cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s", protocol.name);
+        cr_expect_eq(target.connections, 2, "%s", protocol.name);
+    }
+}
+
+// Guards against a refusal without the request's id on a reused connection, where it may be the
+// repeat of an earlier one while the target runs the request.
+Test(answer_fault, a_refusal_without_id_counts_only_on_a_new_connection, .timeout = 60)
+{
+    const Interface protocol = interfaces()[1];
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + protocol.identity + withLength("ok");
+    const std::string refusal
+        = "HTTP/1.1 400 Bad Request\r\n" + protocol.notRun + withLength("no id");
+    ScriptedTarget fresh({{refusal, false}});
+    Caller first(protocol.edge);
+    cr_expect_eq(first.send(fresh.address), AttemptResult::Refused);
+    ScriptedTarget kept({{answer, false}, {refusal, false}});
+    Caller second(protocol.edge);
+    cr_expect_eq(second.send(kept.address), AttemptResult::Answered);
+    cr_expect_eq(second.send(kept.address), AttemptResult::Mismatched);
+    cr_expect_eq(kept.connections, 1);
+}
+
+// Guards against a statement that is noticed only at the end of a stream, seconds after its head.
+Test(answer_fault, a_statement_is_reported_at_the_end_of_the_head, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        ScriptedTarget target(
+            {{streamHead(protocol) + protocol.leaving + "Content-Length: 1000\r\n\r\n", false}});
+        Caller caller(protocol.edge);
+        caller.start(target.address);
+        const std::optional<TargetStated> stated = caller.waitStated();
+        cr_assert(stated, "%s", protocol.name);
+        cr_expect(stated->statement.leaving, "%s", protocol.name);
+        cr_expect_eq(stated->target, TargetId("t"));
+        cr_expect_leq(stated->sentAt.time_since_epoch().count(),
+                      stated->receivedAt.time_since_epoch().count());
+        absl::MutexLock lock(&caller.mutex);
+        cr_expect_not(caller.ended.has_value(), "%s", protocol.name);
+    }
+}
+
+// Guards against the statement of another target, or an earlier one, in an answer that does not
+// carry the request's id.
+Test(answer_fault, an_answer_of_another_request_states_nothing, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        ScriptedTarget target({{"HTTP/1.1 503 Service Unavailable\r\n" + protocol.notRun
+                                    + protocol.leaving + "Retry-After: 9\r\n" + withLength("full"),
+                                true}});
+        Caller caller(protocol.edge);
+        caller.send(target.address);
+        absl::MutexLock lock(&caller.mutex);
+        cr_expect_not(caller.stated.has_value(), "%s", protocol.name);
+    }
+}
+
+// Guards against attempts that were decided before a target's statement and are sent up to a second
+// and a half after it.
+Test(answer_fault, attempts_that_are_not_sent_yet_are_called_back, .timeout = 60)
+{
+    // The backlog of a listening socket that nobody accepts from is full after two connections, so
+    // that the next one stays unconnected.
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(bound);
+    auto *address = reinterpret_cast<sockaddr *>(&bound);
+    cr_assert_eq(bind(listener, address, size), 0);
+    cr_assert_eq(listen(listener, 0), 0);
+    getsockname(listener, address, &size);
+    int fill[2];
+    for (int &connection : fill) {
+        connection = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        (void)connect(connection, address, size);
+    }
+    absl::SleepFor(absl::Milliseconds(50));
+    Caller caller(nativeEdge());
+    caller.start("127.0.0.1:" + std::to_string(ntohs(bound.sin_port)));
+    absl::SleepFor(absl::Milliseconds(50));
+    caller.client.callBack(TargetId("another"));
+    caller.client.callBack(TargetId("t"));
+    const std::optional<AttemptEnded> end = caller.waitEnded();
+    cr_assert(end);
+    cr_expect_eq(end->result, AttemptResult::NotSent);
+    cr_expect(end->calledBack);
+    for (const int connection : fill)
+        close(connection);
+    close(listener);
+}
