Fix: [Host] [Control] A target that states that it leaves gets no further request

Hosts learned of a leaving target only from its heartbeats; what it said in its answers was not used, so that callers' requests went on to it. Now the host that hears it stops at once, calls back what is not sent yet and reports it; the leader marks this incarnation as leaving for good, asks the hosts with slots there to report, and later heartbeats, which may have left before, do not take it back. Hosts report it again as long as the leader does not know it, so that a new leader learns it. Streams are not resumed there.

target_statement/a_target_that_states_that_it_leaves_gets_no_requests: failed before (arrivals from told hosts and after 1.5 s from others), passes.

--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -40,6 +40,11 @@
 void grantRates(Control &control, const HostReport &report, HostGrant &grant,
                 ControlEffects &effects, TimePoint now);
 
+/** Asks the hosts that hold slots of a target, and so can send requests to it, to report, so that
+ * they learn at once what the target has stated to @p reporter. */
+void notifySlotHolders(const Leadership &leadership, const TargetId &target,
+                       const HolderId &reporter, ControlEffects &effects);
+
 /**
  * Takes an order or an inspection out of the target's request rate, if it is limited.
  * @return False if the rate does not allow one now.
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -155,6 +155,18 @@
         markTargetLeaving(leadership.registry, target);
         effects.logEvents.push_back({"targetLeft", {{"target", target}}});
     }
+    for (const auto &[id, start] : report.statedLeaving) {
+        const auto entry = leadership.registry.targets.find(id);
+        if (entry == leadership.registry.targets.end() || entry->second.announcement.start != start
+            || entry->second.left)
+            continue;
+        markTargetLeaving(leadership.registry, id);
+        notifySlotHolders(leadership, id, report.holder, effects);
+        leadership.placementDue = std::min(leadership.placementDue, now);
+        effects.logEvents.push_back(
+            {"targetStatedLeaving",
+             {{"target", id}, {"start", start}, {"by", report.holder.host}}});
+    }
     for (const auto &[id, start] : report.alive) {
         const auto entry = leadership.registry.targets.find(id);
         if (entry != leadership.registry.targets.end() && entry->second.announcement.start == start)
--- a/src/control/rate_grant.cpp
+++ b/src/control/rate_grant.cpp
@@ -64,20 +64,6 @@
         known.pool.level = std::min(known.pool.level, 0.0);
 }
 
-/** Asks the hosts that can send requests to the target to report, so that they learn of the limit.
- */
-void notifySlotHolders(const Leadership &leadership, const TargetId &target,
-                       const HolderId &reporter, ControlEffects &effects)
-{
-    const auto slots = leadership.slots.find(target);
-    if (slots == leadership.slots.end())
-        return;
-    for (const auto &[holder, holding] : slots->second.pool.holdings) {
-        if (holder != reporter && holding.outstanding() > 0)
-            effects.toHosts.push_back({holder, BudgetRecall{}});
-    }
-}
-
 /** Publishes a changed rate to all hosts. */
 void publishRate(Leadership &leadership, TargetEntry &entry, TargetRate &known,
                  const HolderId &reporter, ControlEffects &effects, TimePoint now)
@@ -159,6 +145,18 @@
 
 } // namespace
 
+void notifySlotHolders(const Leadership &leadership, const TargetId &target,
+                       const HolderId &reporter, ControlEffects &effects)
+{
+    const auto slots = leadership.slots.find(target);
+    if (slots == leadership.slots.end())
+        return;
+    for (const auto &[holder, holding] : slots->second.pool.holdings) {
+        if (holder != reporter && holding.outstanding() > 0)
+            effects.toHosts.push_back({holder, BudgetRecall{}});
+    }
+}
+
 void grantRates(Control &control, const HostReport &report, HostGrant &grant,
                 ControlEffects &effects, TimePoint now)
 {
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -118,7 +118,7 @@
     const auto target = host.targets.find(request.target);
     return broken && !request.asked.byRoute && ended.eventsRelayed > 0
         && request.attempts <= MAX_RESUMES && target != host.targets.end()
-        && target->second.announcement.start == request.targetStart
+        && target->second.announcement.start == request.targetStart && !target->second.statedLeaving
         && hasRequest(target->second, now) && now < request.deadline - REFUSAL_MARGIN;
 }
 
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -66,7 +66,8 @@
     const auto declined = target.declinedUntil.find(group);
     if (declined != target.declinedUntil.end() && now < declined->second)
         return false;
-    return !target.announcement.leaving && now >= target.health.ejectedUntil
+    return !target.announcement.leaving && !target.statedLeaving
+        && now >= target.health.ejectedUntil
         && acceptsWork(host.view, target.announcement.id, target.announcement.zone)
         && servesCurrentVersion(host, target, group);
 }
@@ -337,7 +338,8 @@
         return ADAPTER_LOAD_TIME;
     Duration shortest = fromSeconds(model->second.loadSeconds) + LOAD_OVERHEAD;
     for (const auto &[id, target] : host.targets) {
-        if (target.announcement.leaving || target.announcement.service != group.service)
+        if (target.announcement.leaving || target.statedLeaving
+            || target.announcement.service != group.service)
             continue;
         const auto loading = target.loadingUntil.find(base.variant);
         if (loading != target.loadingUntil.end())
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -150,6 +150,10 @@
     TimePoint coldStartDue; ///< Earliest next dispatch by this host during the warm-up.
     std::map<WorkGroup, TimePoint> declinedUntil; ///< End of the back-off after a refusal.
     int declinedInRow = 0; ///< Consecutive refusals by the target.
+    /** The target has stated that it leaves. Its heartbeats do not take that back: they may have
+     * been sent before. */
+    bool statedLeaving = false;
+    TimePoint quietUntil; ///< Until then, the target wants no request of this host.
     /** Requests per second that the target takes from all hosts together; empty: no limit. */
     std::optional<double> requestRate;
     TimePoint rateKnownAt; ///< Time at which @c requestRate became known.
@@ -169,8 +173,9 @@
                                                 cancelling, peak, limit, share, succeeded,
                                                 overloaded, failed, health, lastUse, loadingUntil,
                                                 coldUntil, coldStartDue, declinedUntil,
-                                                declinedInRow, requestRate, rateKnownAt, requests,
-                                                turnAt, turnInterval, observedRate)
+                                                declinedInRow, statedLeaving, quietUntil,
+                                                requestRate, rateKnownAt, requests, turnAt,
+                                                turnInterval, observedRate)
 
 /** A target that sends its announcements to this host. */
 struct LocalTarget
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -179,7 +179,8 @@
     if (host.leaving || hasScarceSlots(host, target))
         return running;
     const bool sameZone = target.announcement.zone == host.settings.zone;
-    const bool open = !target.announcement.leaving && now >= target.health.ejectedUntil
+    const bool open = !target.announcement.leaving && !target.statedLeaving
+        && now >= target.health.ejectedUntil
         && acceptsWork(host.view, target.announcement.id, target.announcement.zone);
     if (!open || !servesUsedGroup(host, target, now))
         return static_cast<std::int64_t>(std::round(target.peak));
@@ -201,6 +202,8 @@
     for (const auto &[account, count] : demand)
         waiting += count;
     reportRate(host, target, waiting, report, now);
+    if (target.statedLeaving && !target.announcement.leaving)
+        report.statedLeaving.emplace_back(target.announcement.id, target.announcement.start);
     for (const RequestId id : target.running)
         ++demand[host.requests.at(id).account];
     const auto running
--- a/src/host/statement_cmd.cpp
+++ b/src/host/statement_cmd.cpp
@@ -35,6 +35,17 @@
         setRequestRate(target, latest.rate, effects, now);
 }
 
+/** Stops all requests to a target that leaves. */
+void noteLeaving(Host &host, KnownTarget &target, HostEffects &effects)
+{
+    if (target.statedLeaving)
+        return;
+    target.statedLeaving = true;
+    effects.push_back(CallBackAttempts{target.announcement.id});
+    host.earlyReportRequested = true;
+    host.promptReportRequested = true;
+}
+
 } // namespace
 
 void onTargetStated(Host &host, const TargetStated &stated, HostEffects &effects, TimePoint now)
@@ -46,6 +57,8 @@
     const auto target = host.targets.find(stated.target);
     if (target == host.targets.end() || target->second.announcement.start != stated.start)
         return;
+    if (statement.leaving)
+        noteLeaving(host, target->second, effects);
     observeRate(host, target->second, stated, effects, now);
 }
 
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -139,13 +139,15 @@
     std::vector<AnsweredPart> answeredParts; ///< Latest responses on suspected parts.
     std::vector<PromptPart> trialsWanted; ///< Restricted parts of queued requests.
     std::vector<RateUse> rates; ///< Targets with a limited request rate.
+    /** Targets that have stated in an answer that they leave, unless the leader knows it. */
+    std::vector<std::pair<TargetId, Incarnation>> statedLeaving;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostReport, holder, zone, sequence, sentAt, term,
                                                 table, registryEpoch, registry, membershipIndex,
                                                 suspectsVersion, leaving, entry, member, accounts,
                                                 slots, variants, targets, alive, targetsLeft,
                                                 suspicions, cleared, lostRequests, answeredParts,
-                                                trialsWanted, rates)
+                                                trialsWanted, rates, statedLeaving)
 
 /** Asks the leader to record a call before its dispatch, or for the outcome of a recorded call. */
 struct CallQuery
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -121,7 +121,7 @@
                         v.registry, v.membershipIndex, v.suspectsVersion, v.leaving, v.entry,
                         v.member, v.accounts, v.slots, v.variants, v.targets, v.alive,
                         v.targetsLeft, v.suspicions, v.cleared, v.lostRequests, v.answeredParts,
-                        v.trialsWanted, v.rates);
+                        v.trialsWanted, v.rates, v.statedLeaving);
     }
 };
 template <> struct Fields<RegistryDelta>
