Fix: [Host] A target that asks for quiet gets no request of that host meanwhile

A target that turned a request away and named a time got further requests of that host, after a back-off of 0.1 to 1.6 s for that group only; a new start of the registry entry ended even that. Now the stated time holds for the whole target and incarnation, what is decided but not sent is called back, and such an answer neither counts as overload nor doubles a back-off. Requests that only quiet targets could serve, and not in time, are refused at once with the time to come back.

--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -328,12 +328,8 @@
             refuse(host, request.asked.request, RefusalCode::Overloaded, effects, now, *wait);
             return;
         }
-    } else if (request.waitUntil != TimePoint{} && request.eventsRelayed == 0) {
-        const std::optional<Duration> load = estimatedLoadTime(host, request.group, now);
-        if (load && now + *load > request.waitUntil) {
-            refuseUntilLoaded(host, request.asked.request, *load, effects, now);
-            return;
-        }
+    } else if (refuseUnlessServedInTime(host, request, effects, now)) {
+        return;
     }
     request.state = RequestState::Queued;
     request.queuedAt = now;
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -78,7 +78,9 @@
         target.declinedInRow = 0;
         return;
     case AttemptResult::Refused:
-        // A target that limits its request rate has said what it can take.
+        // A target that has said what it wants needs no guess.
+        if (target.statedLeaving || now < target.quietUntil)
+            return;
         target.overloaded += sameIncarnation && !target.requestRate ? 1 : 0;
         target.declinedUntil[request.group] = now
             + MIN_DECLINED_BACKOFF * (1 << std::min(target.declinedInRow, MAX_DECLINED_DOUBLINGS));
@@ -119,7 +121,8 @@
     return broken && !request.asked.byRoute && ended.eventsRelayed > 0
         && request.attempts <= MAX_RESUMES && target != host.targets.end()
         && target->second.announcement.start == request.targetStart && !target->second.statedLeaving
-        && hasRequest(target->second, now) && now < request.deadline - REFUSAL_MARGIN;
+        && now >= target->second.quietUntil && hasRequest(target->second, now)
+        && now < request.deadline - REFUSAL_MARGIN;
 }
 
 /** Starts an attempt that continues a broken stream at the same target. */
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -66,7 +66,7 @@
     const auto declined = target.declinedUntil.find(group);
     if (declined != target.declinedUntil.end() && now < declined->second)
         return false;
-    return !target.announcement.leaving && !target.statedLeaving
+    return !target.announcement.leaving && !target.statedLeaving && now >= target.quietUntil
         && now >= target.health.ejectedUntil
         && acceptsWork(host.view, target.announcement.id, target.announcement.zone)
         && servesCurrentVersion(host, target, group);
@@ -325,6 +325,21 @@
     return !eligibleTargets(host, group, now).empty();
 }
 
+std::optional<Duration> quietLeft(const Host &host, const WorkGroup &group, TimePoint now)
+{
+    const auto serving = host.targetsByGroup.find(group);
+    if (serving == host.targetsByGroup.end())
+        return std::nullopt;
+    std::optional<Duration> shortest;
+    for (const TargetId &id : serving->second) {
+        const KnownTarget &target = host.targets.at(id);
+        if (now < target.quietUntil && isEligible(host, target, group, target.quietUntil))
+            shortest
+                = std::min(shortest.value_or(Duration::max()), Duration(target.quietUntil - now));
+    }
+    return shortest;
+}
+
 std::optional<Duration> estimatedLoadTime(const Host &host, const WorkGroup &group, TimePoint now)
 {
     if (group.variant.model.value.empty())
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -35,6 +35,10 @@
                        TimePoint now);
 /** @return Latest useful time of the request's first dispatch. */
 TimePoint latestDispatch(const Request &request);
+/** Refuses a request that no eligible target serves, if it is known that none will in time.
+ * @return Whether the request was refused. */
+bool refuseUnlessServedInTime(Host &host, const Request &request, HostEffects &effects,
+                              TimePoint now);
 /** Expects a refused caller of the group to come back at time @p at. */
 void expectReturn(Host &host, const WorkGroup &group, TimePoint at);
 /** Refuses requests that have reached their deadline or waitUntil, and waiting requests after the
@@ -48,6 +52,9 @@
 bool hasEligibleTarget(const Host &host, const WorkGroup &group, TimePoint now);
 /** @return Targets that serve the group and may get new requests, with or without free slots. */
 std::vector<TargetId> eligibleTargets(const Host &host, const WorkGroup &group, TimePoint now);
+/** @return Time until the first target that serves the group ends its quiet period; nullopt if none
+ * is in one. */
+std::optional<Duration> quietLeft(const Host &host, const WorkGroup &group, TimePoint now);
 /** @return Estimated time until a target has loaded the group's variant; nullopt if unknown. */
 std::optional<Duration> estimatedLoadTime(const Host &host, const WorkGroup &group, TimePoint now);
 /** @return Estimated time until the request, queued now, would end; nullopt if unknown or nothing
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -135,6 +135,27 @@
     refuse(host, id, RefusalCode::NoTarget, effects, now, wait);
 }
 
+bool refuseUnlessServedInTime(Host &host, const Request &request, HostEffects &effects,
+                              TimePoint now)
+{
+    const bool mayLoad = request.waitUntil != TimePoint{} && request.eventsRelayed == 0;
+    const std::optional<Duration> load
+        = mayLoad ? estimatedLoadTime(host, request.group, now) : std::nullopt;
+    const std::optional<Duration> quiet = quietLeft(host, request.group, now);
+    if (!load && !quiet)
+        return false;
+    const Duration wait = std::min(load.value_or(Duration::max()), quiet.value_or(Duration::max()));
+    if (now + wait <= latestDispatch(request))
+        return false;
+    if (load) {
+        refuseUntilLoaded(host, request.asked.request, wait, effects, now);
+    } else {
+        expectReturn(host, request.group, now + wait);
+        refuse(host, request.asked.request, RefusalCode::Overloaded, effects, now, wait);
+    }
+    return true;
+}
+
 /** Refuses queued requests that have reached waitUntil, with the delay after which to retry. */
 void refuseExpiredWaits(Host &host, HostEffects &effects, TimePoint now)
 {
--- a/src/host/statement_cmd.cpp
+++ b/src/host/statement_cmd.cpp
@@ -46,6 +46,21 @@
     host.promptReportRequested = true;
 }
 
+/** Stops this host's requests to a target for @p period, and refuses what waits for it too long. */
+void beginQuietPeriod(Host &host, KnownTarget &target, Duration period, HostEffects &effects,
+                      TimePoint now)
+{
+    target.quietUntil = std::max(target.quietUntil, now + period);
+    effects.push_back(CallBackAttempts{target.announcement.id});
+    std::vector<RequestId> queued;
+    for (const auto &[id, request] : host.requests) {
+        if (request.state == RequestState::Queued && !hasEligibleTarget(host, request.group, now))
+            queued.push_back(id);
+    }
+    for (const RequestId id : queued)
+        refuseUnlessServedInTime(host, host.requests.at(id), effects, now);
+}
+
 } // namespace
 
 void onTargetStated(Host &host, const TargetStated &stated, HostEffects &effects, TimePoint now)
@@ -59,6 +74,8 @@
         return;
     if (statement.leaving)
         noteLeaving(host, target->second, effects);
+    if (statement.quietFor)
+        beginQuietPeriod(host, target->second, *statement.quietFor, effects, now);
     observeRate(host, target->second, stated, effects, now);
 }
 
