Fix: [Net] An answer that ends inside its head is not complete

Callers got a 200 with an empty body, framed as whole, when a target closed in the middle of the head of its answer: libcurl reports such a connection as the orderly end of an answer without a length. A head is now complete only with its empty line, which libcurl hands to the header callback. The same cause stood in orders: a broken 202 counted as accepted, a broken 409 as busy; both are undetermined now.

--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -64,6 +64,7 @@
     std::string body; ///< Body of the request.
     std::string answer; ///< Body of the answer, as far as received.
     std::size_t headBytes = 0; ///< Bytes of the answer's header lines so far.
+    bool headComplete = false; ///< The empty line after the latest header lines has arrived.
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     bool pastSendBy = false; ///< Not sent: connected only after the order's sendBy.
@@ -80,9 +81,11 @@
     return size * count;
 }
 
-std::size_t countHeaderBytes(char *, std::size_t size, std::size_t count, void *self)
+std::size_t countHeaderBytes(char *line, std::size_t size, std::size_t count, void *self)
 {
     auto &transfer = *static_cast<ControlTransfer *>(self);
+    transfer.headComplete
+        = std::string_view(line, size * count).find_first_not_of("\r\n") == std::string_view::npos;
     transfer.headBytes += size * count;
     if (transfer.headBytes <= MAX_HEADER_BYTES)
         return size * count;
@@ -364,6 +367,9 @@
                          CURLcode code)
     {
         ControlTransfer &transfer = *it->second;
+        // libcurl takes a connection that closes inside the head for the end of the answer.
+        if (code == CURLE_OK && !transfer.headComplete)
+            code = CURLE_PARTIAL_FILE;
         long status = 0;
         long sent = 0;
         curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -168,6 +168,7 @@
 {
     absl::StripTrailingAsciiWhitespace(&line);
     if (absl::StartsWith(line, "HTTP/")) {
+        this->headComplete = false;
         long code = 0;
         curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &code);
         this->status = static_cast<int>(code);
@@ -175,8 +176,10 @@
         this->framed = false;
         return;
     }
-    if (line.empty() && this->status >= FINAL_STATUS)
+    if (line.empty() && this->status >= FINAL_STATUS) {
+        this->headComplete = true;
         this->reportStatement();
+    }
     const std::size_t colon = line.find(':');
     if (colon == std::string::npos)
         return;
@@ -345,6 +348,9 @@
     curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &sent);
     if (this->status == 0)
         return sent == 0 ? AttemptResult::NotSent : AttemptResult::Lost;
+    // libcurl takes a connection that closes inside the head for the end of the answer.
+    if (!this->headComplete)
+        return AttemptResult::Lost;
     const AnswerHead &answer = this->readHead();
     if (answer.notRun)
         return AttemptResult::Refused;
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -105,6 +105,7 @@
     HeaderList headers; ///< Headers of the target's answer.
     std::optional<AnswerHead> head;
     TimePoint sentAt; ///< Time at which the connection was ready for the request.
+    bool headComplete = false; ///< The empty line after the headers has arrived.
     bool framed = false; ///< The answer has a Content-Length or Transfer-Encoding header.
     bool sawEndMarker = false; ///< The stream's end marker was received; later bytes are dropped.
     ResponseLimit bound = ResponseLimit::None; ///< Bound that the answer exceeded.
--- a/src/tests/answer_fault_test.cpp
+++ b/src/tests/answer_fault_test.cpp
@@ -287,6 +287,33 @@
     }
 }
 
+// Guards against an order that counts as accepted although its answer broke off inside the head.
+Test(answer_fault, an_order_whose_answer_ends_inside_its_head_is_undetermined, .timeout = 60)
+{
+    for (const std::string text :
+         {"HTTP/1.1 202 Accepted\r\n", "HTTP/1.1 409 Conflict\r\nX-A: b\r\n"}) {
+        ScriptedTarget target({{text, true}});
+        absl::Mutex mutex;
+        std::optional<OrderReply> reply;
+        TargetClient client(
+            std::make_shared<ExchangeTable>(), nativeEdge(), "leader", [](HostEvent &&) {},
+            [&](ControlEvent &&event) {
+                absl::MutexLock lock(&mutex);
+                reply = std::get<OrderReplyEvent>(event).reply;
+            });
+        SendOrder order;
+        order.replica = "t/m:";
+        order.address = target.address;
+        order.order.variant.model = ModelId("m");
+        order.sendBy = MonotonicClock::now() + WAIT_TIMEOUT;
+        cr_assert(client.sendOrder(order));
+        absl::MutexLock lock(&mutex);
+        const auto replied = [&]() { return reply.has_value(); };
+        mutex.AwaitWithTimeout(absl::Condition(&replied), absl::Microseconds(WAIT_TIMEOUT.count()));
+        cr_expect_eq(reply, OrderReply::Unknown, "%s", text.c_str());
+    }
+}
+
 // Guards against the text of an error, or a complete end, in the middle of a caller's stream when
 // the target that was to go on with it answers with something else.
 Test(answer_fault, what_does_not_go_on_with_a_stream_is_not_relayed, .timeout = 120)
