Fix: [Net] Only the rest of a stream goes on in a caller's stream

After a stream had begun and broken off, the next answer was taken as it came: an error or a 200 with another body ended the attempt as answered, its begin was refused by the exchange, and nobody ended the caller's stream; a stream that began again at its first event was relayed after the first one. An attempt that resumes is now answered only by a stream; anything else ends it as a server error or an invalid response, so that the request is retried or its stream is broken off visibly. Events that were relayed already are not relayed again.

answer_fault/what_does_not_go_on_with_a_stream_is_not_relayed (both interfaces, 4xx, 5xx, other bodies, a stream from the first or the second event) failed before and passes; a_stream_that_goes_on_where_it_stopped passes before and after.

--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -236,6 +236,8 @@
         transfer.paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
+    if (transfer.wrongStart)
+        return 0;
     transfer.streamBytes += bytes;
     return transfer.body.size() > MAX_EVENT_BYTES ? transfer.abortOnBound(ResponseLimit::Event)
                                                   : bytes;
@@ -276,6 +278,9 @@
     const std::size_t marked = this->endOfMarkedEvent();
     end = std::min(end, marked);
     const std::string_view completeEvents = std::string_view(this->body).substr(0, end);
+    this->wrongStart = this->repeatsEvents(completeEvents);
+    if (this->wrongStart)
+        return true;
     const bool first = this->lastRelayedEvent == 0 && this->attempt.resumeAfter == 0;
     if (first)
         this->exchange->begin(this->status, "", this->readHead().relayedHeaders, "", true);
@@ -300,6 +305,19 @@
     return true;
 }
 
+/** @return Whether the first events of a resumed stream have been relayed by an earlier attempt. */
+bool Transfer::repeatsEvents(std::string_view completeEvents) const
+{
+    const bool atStart
+        = this->attempt.resumeAfter > 0 && this->lastRelayedEvent == this->attempt.resumeAfter;
+    const std::size_t end = completeEvents.find(EVENT_END);
+    if (!atStart || end == std::string_view::npos)
+        return false;
+    const std::optional<std::int64_t> number
+        = this->edge.eventNumber(completeEvents.substr(0, end));
+    return number && *number <= this->attempt.resumeAfter;
+}
+
 /** @return Offset in @c body just after the event with the end marker; npos if there is none. */
 std::size_t Transfer::endOfMarkedEvent() const
 {
@@ -356,6 +374,12 @@
         return AttemptResult::Refused;
     if (!answer.belongsToAttempt)
         return AttemptResult::Mismatched;
+    // The caller has a part of a stream already: only the rest of that stream may follow.
+    if (this->wrongStart)
+        return AttemptResult::InvalidResponse;
+    if (this->attempt.resumeAfter > 0 && !answer.streamed)
+        return this->status >= SERVER_ERROR ? AttemptResult::ServerError
+                                            : AttemptResult::InvalidResponse;
     if (code == CURLE_WRITE_ERROR && this->sawEndMarker)
         return AttemptResult::Answered;
     if (code != CURLE_OK)
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -88,6 +88,7 @@
     void reportStatement();
     bool isStreamed() { return this->readHead().streamed; }
     std::int64_t lastEventNumber(std::string_view completeEvents) const;
+    bool repeatsEvents(std::string_view completeEvents) const;
     void setBody();
     void finishStream();
     AttemptResult classify(CURLcode code);
@@ -107,6 +108,7 @@
     TimePoint sentAt; ///< Time at which the connection was ready for the request.
     bool headComplete = false; ///< The empty line after the headers has arrived.
     bool framed = false; ///< The answer has a Content-Length or Transfer-Encoding header.
+    bool wrongStart = false; ///< A resumed stream began with events that were relayed already.
     bool sawEndMarker = false; ///< The stream's end marker was received; later bytes are dropped.
     ResponseLimit bound = ResponseLimit::None; ///< Bound that the answer exceeded.
     std::size_t headBytes = 0; ///< Bytes of all header lines so far.
