Fix: [Net] A refusal counts once, and only for the request that it names

A target that wrote an earlier refusal once more on a kept connection made a caller hear 'not run' of a request that the target had run or was running: a refusal without an id counted on any connection, and on the platform a caller that comes again uses its id again, so that even the id does not tell the two apart. A connection that carried a refusal is closed after it, and a refusal without the request's id counts only on a new connection; else the answer belongs to no request, and the attempt may have run.

answer_fault/a_connection_that_carried_a_refusal_is_not_used_again and a_refusal_without_id_counts_only_on_a_new_ connection failed before and pass.

--- a/src/net/edge_type.h
+++ b/src/net/edge_type.h
@@ -45,6 +45,7 @@
 /** Information from the status line and the headers of a target's answer. */
 struct AnswerHead
 {
+    bool identified = false; ///< The answer carries the id of the request.
     bool belongsToAttempt = false; ///< The answer belongs to this attempt; the caller may get it.
     bool notRun = false; ///< The target states that it did not execute the request.
     bool streamed = false; ///< The body is a stream of server-sent events.
--- a/src/net/native_edge.cpp
+++ b/src/net/native_edge.cpp
@@ -62,6 +62,7 @@
     AnswerHead head;
     head.belongsToAttempt
         = headerValue(headers, "X-Correlation-Id") == std::to_string(attempt.correlation.value);
+    head.identified = head.belongsToAttempt;
     head.notRun = headerValue(headers, "X-Execution") == "not-run";
     if (head.belongsToAttempt)
         head.statement = readStatement(
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -178,6 +178,9 @@
     }
     if (line.empty() && this->status >= FINAL_STATUS) {
         this->headComplete = true;
+        // A refusal that is written once more would pass for the answer to the next request.
+        if (this->readHead().notRun)
+            curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
         this->reportStatement();
     }
     const std::size_t colon = line.find(':');
@@ -360,6 +363,16 @@
         this->bound = ResponseLimit::Unparsable;
 }
 
+/** @return Whether the target states that it did not run this request. Without the request's id,
+ * the statement counts only on a new connection, which carried no other request. */
+bool Transfer::isRefusal()
+{
+    long newConnections = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_NUM_CONNECTS, &newConnections);
+    const AnswerHead &answer = this->readHead();
+    return answer.notRun && (answer.identified || newConnections > 0);
+}
+
 AttemptResult Transfer::classify(CURLcode code)
 {
     long sent = 0;
@@ -370,7 +383,7 @@
     if (!this->headComplete)
         return AttemptResult::Lost;
     const AnswerHead &answer = this->readHead();
-    if (answer.notRun)
+    if (this->isRefusal())
         return AttemptResult::Refused;
     if (!answer.belongsToAttempt)
         return AttemptResult::Mismatched;
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -92,6 +92,7 @@
     void setBody();
     void finishStream();
     AttemptResult classify(CURLcode code);
+    bool isRefusal();
     void countTokens(AttemptEnded &ended);
     static std::size_t onUpload(char *out, std::size_t size, std::size_t count, void *self);
 
