Fix: [Tests] The order of bytes after a complete answer no longer depends on the machine

endless_answer/bytes_after_a_complete_answer failed once in a run of the whole suite (0 of 350 alone). Trace: it sends the next request as soon as the first answer is complete; if the bytes after that answer come later than the look at the idle connection, the next request goes out on it, and its attempt ends as an invalid response, which is right: the request may have run. The test now waits until the bytes have been sent, as its purpose needs, and answer_fault/late_bytes_of_an_earlier_answer_are_no_answer holds the other order: no answer, no refusal, and the connection is given up.

--- a/src/tests/answer_fault_test.cpp
+++ b/src/tests/answer_fault_test.cpp
@@ -392,6 +392,25 @@
     cr_expect_eq(kept.connections, 1);
 }
 
+// Guards against bytes after a complete answer that arrive only when the next request has been sent
+// on the same connection, and pass for its answer or for a refusal of it.
+Test(answer_fault, late_bytes_of_an_earlier_answer_are_no_answer, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        const std::string answer = "HTTP/1.1 200 OK\r\n" + protocol.identity + withLength("ok");
+        for (const std::string extra : {"more", "moremore\r\n\r\n"}) {
+            ScriptedTarget target({{answer, false}, {extra + answer, false}, {answer, false}});
+            Caller caller(protocol.edge);
+            cr_assert_eq(caller.send(target.address), AttemptResult::Answered);
+            const AttemptResult result = caller.send(target.address);
+            cr_expect_eq(result, AttemptResult::InvalidResponse, "%s: %s", protocol.name,
+                         extra.c_str());
+            cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s", protocol.name);
+            cr_expect_eq(target.connections, 2, "%s", protocol.name);
+        }
+    }
+}
+
 // Guards against a statement that is noticed only at the end of a stream, seconds after its head.
 Test(answer_fault, a_statement_is_reported_at_the_end_of_the_head, .timeout = 60)
 {
--- a/src/tests/endless_answer_test.cpp
+++ b/src/tests/endless_answer_test.cpp
@@ -77,6 +77,15 @@
         return this->closed;
     }
 
+    /** @return Whether the kernel has accepted @p bytes for sending within @p timeout. */
+    bool waitPushed(std::size_t bytes, Duration timeout) const
+    {
+        const TimePoint end = MonotonicClock::now() + timeout;
+        while (this->pushed < bytes && MonotonicClock::now() < end)
+            absl::SleepFor(absl::Milliseconds(1));
+        return this->pushed >= bytes;
+    }
+
     std::string address;
     std::atomic<std::size_t> pushed{0}; ///< Bytes that the kernel accepted for sending.
     std::atomic<bool> closed{false}; ///< The client has closed the connection of an endless answer.
@@ -451,6 +460,7 @@
         absl::MutexLock lock(&exchange->mutex);
         cr_assert_eq(exchange->buffer, "good");
     }
+    cr_assert(endless.waitPushed(MIN_WRITE_BYTES, CLOSE_TIMEOUT));
     assertServed(recorder, endless, 2);
     cr_expect(endless.waitClosed(CLOSE_TIMEOUT), "%zu bytes pushed", endless.pushed.load());
     cr_expect_lt(endless.pushed.load(), SOCKET_BUFFER_BYTES);
