Add: [Tests] [Ctl] Stand-ins state request rates and count breaches; refusals for a target's rate have a type

Requests whose turn comes too late are refused as target_rate_limited; explain names the target and its rate, and attemptStarted says whether a request was held by it.

--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -169,11 +169,29 @@
                         describeTargetLoss(lines, target, end));
 }
 
+/** @return Which target limits its request rate, as far as a leader's line says so. */
+std::string causeOfTargetRate(const std::vector<LogLine> &lines, const LogLine &end)
+{
+    const LogLine *limit = latest(lines, 0, end.unixMs, [](const LogLine &line) {
+        return line.event == "targetRateChanged" && line.fields.contains("to")
+            && !line.fields["to"].is_null();
+    });
+    const std::string by = limit == nullptr
+        ? "their leader's log is missing"
+        : absl::StrCat(stringField(*limit, "target"), " takes ", stringField(*limit, "to"),
+                       " a second of all hosts, as it said ", end.unixMs - limit->unixMs,
+                       " ms before");
+    return absl::StrCat("its turn at the targets of ", stringField(end, "variant"),
+                        " would have come too late: ", by);
+}
+
 std::string causeOfRefusal(const std::vector<LogLine> &lines, const LogLine &end)
 {
     const std::string type = stringField(end, "type");
     if (type == "no_target")
         return causeOfNoTarget(lines, end);
+    if (type == "target_rate_limited")
+        return causeOfTargetRate(lines, end);
     if (absl::EndsWith(type, "rate_limited"))
         return causeOfRateLimit(lines, end);
     if (type == "overloaded")
@@ -282,6 +300,13 @@
         } else if (line.event == "targetLeft") {
             out.cause = absl::StrCat(target, " announced its shutdown");
             ++losses;
+        } else if (line.event == "targetStatedLeaving") {
+            out.cause = absl::StrCat(target, " said in an answer that it leaves");
+        } else if (line.event == "targetRateChanged") {
+            const bool ended = !line.fields.contains("to") || line.fields["to"].is_null();
+            out.cause = ended
+                ? absl::StrCat(target, " no longer limits its request rate")
+                : absl::StrCat(target, " takes ", stringField(line, "to"), " requests a second");
         } else if (line.event == "targetChanged") {
             const std::string before
                 = losses == 0 ? "" : absl::StrCat(" after it was lost ", losses, " times");
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -337,6 +337,9 @@
             line["remainingMs"] = start->remaining.count() / 1000;
             line["resumeAfter"] = start->resumeAfter;
             line["parts"] = this->promptPartsOf(start->request);
+            const auto request = this->host.requests.find(start->request);
+            if (request != this->host.requests.end() && request->second.heldByRate)
+                line["heldByRate"] = true;
             logEventRateLimited("attemptStarted", std::move(line));
         }
     }
--- a/src/host/statement_cmd.cpp
+++ b/src/host/statement_cmd.cpp
@@ -190,7 +190,7 @@
         at = std::max(at, returns.back() + interval);
     at = std::min(at, now + MAX_RATE_RETRY_AFTER);
     expectReturn(host, group, at);
-    refuse(host, id, RefusalCode::Overloaded, effects, now, at - now);
+    refuse(host, id, RefusalCode::TargetRateLimited, effects, now, at - now);
 }
 
 void refuseLateTurns(Host &host, HostEffects &effects, TimePoint now)
--- a/src/table/refusals.h
+++ b/src/table/refusals.h
@@ -30,6 +30,7 @@
     MayHaveRun, ///< The target was lost after the request was sent to it.
     AnswerNotKept, ///< The call has completed, but its answer was too large to store for a replay.
     CallTooOld, ///< The call is older than the retained records of idempotent calls.
+    TargetRateLimited, ///< Its turn at targets that limit their request rate would come too late.
     PartQuarantined, ///< Requests with the same part of the prompt have crashed several targets.
 };
 
@@ -73,6 +74,8 @@
     {RefusalCode::AnswerNotKept, 409, "answer_not_kept",
      "the call ran; its answer was too large to keep"},
     {RefusalCode::CallTooOld, 409, "too_old", "the call is older than the records reach"},
+    {RefusalCode::TargetRateLimited, 503, "target_rate_limited",
+     "the targets limit how many requests they take"},
     {RefusalCode::PartQuarantined, 503, "part_quarantined",
      "requests with a part of this prompt have crashed several targets"},
 };
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -29,6 +29,9 @@
 20.0 core-1 {"event":"leadershipEnded","term":1,"host":"core-1","unixMs":20000}
 20.5 core-2 {"event":"leadershipWon","term":2,"host":"core-2","unixMs":20500}
 21.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"early","freshMs":900,"host":"front-1","unixMs":21000}
+25.0 core-2 {"event":"targetRateChanged","target":"t3","from":null,"to":1.5,"by":"front-1","host":"core-2","unixMs":25000}
+25.4 front-2 {"event":"requestRefused","type":"target_rate_limited","tag":"turn","variant":"m3","freshMs":900,"host":"front-2","unixMs":25400}
+26.0 core-2 {"event":"targetRateChanged","target":"t3","from":1.5,"to":null,"by":"front-1","host":"core-2","unixMs":26000}
 30.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"over","freshMs":900,"host":"front-1","unixMs":30000}
 30.1 front-2 {"event":"requestRefused","type":"token_rate_limited","tag":"over2","freshMs":900,"host":"front-2","unixMs":30100}
 )";
@@ -58,6 +61,7 @@
     checkCause("unwanted", 1, "no target had m2/a1 and no load was ordered");
     checkCause("early", 1, "core-2 had become the leader 500 ms before");
     checkCause("over", 1, "over its rate: 2 such refusals");
+    checkCause("turn", 1, "t3 takes 1.5 a second of all hosts, as it said 400 ms before");
 }
 
 Test(explain, failed_attempt_names_loss_of_its_target)
@@ -73,6 +77,7 @@
     const Explanation target = explainTarget(recorded(), "t1");
     cr_assert_eq(target.path.size(), 4);
     cr_assert(absl::StrContains(target.cause, "stopped sending heartbeats"));
+    cr_assert(absl::StrContains(explainTarget(recorded(), "t3").cause, "no longer limits"));
     cr_assert(absl::StrContains(explainVersion(recorded(), 7).cause, "first by core-1"));
     cr_assert(absl::StrContains(explainVersion(recorded(), 8).cause, "never accepted"));
     cr_assert(explainVersion(recorded(), 9).cause.empty());
--- a/src/tests/fakes/fake_target.cpp
+++ b/src/tests/fakes/fake_target.cpp
@@ -8,8 +8,10 @@
 #include <boost/program_options.hpp>
 #include <chrono>
 #include <curl/curl.h>
+#include <deque>
 #include <iostream>
 #include <microhttpd.h>
+#include <optional>
 #include <random>
 #include <set>
 #include <thread>
@@ -55,6 +57,9 @@
     std::string breakWord; ///< A stream breaks halfway if its request has this word and no
                            ///< Last-Event-ID.
     int faultPercent = 0; ///< Percentage of service calls that run but get no answer.
+    double requestRate = 0; ///< Request rate that the answers state for a time; 0: none.
+    int statesRateAfterMs = 0; ///< From the start until the answers begin to state the rate.
+    int statesRateForMs = 0; ///< Time for which they state it.
     unsigned seed = 1; ///< Seed of the random choice of lost answers.
 };
 
@@ -66,6 +71,54 @@
 
 using Clock = std::chrono::steady_clock;
 
+/** States a request rate for a time and counts the arrivals that exceed it. */
+struct RateMonitor
+{
+    /** @return Whether the answers state the rate at @p now. */
+    bool states(const FakeOptions &options, Clock::time_point now) const
+    {
+        const auto from = this->startedAt + std::chrono::milliseconds(options.statesRateAfterMs);
+        return options.requestRate > 0 && now >= from
+            && now < from + std::chrono::milliseconds(options.statesRateForMs);
+    }
+
+    /** Counts an arrival; it exceeds the rate if too many have arrived in the window before it. */
+    void record(const FakeOptions &options, Clock::time_point now)
+    {
+        if (!this->states(options, now)) {
+            this->arrivals.clear();
+            this->firstStatedAt.reset();
+            return;
+        }
+        if (!this->firstStatedAt)
+            this->firstStatedAt = now;
+        if (now < *this->firstStatedAt + HOST_BINDS_AFTER)
+            return;
+        this->arrivals.push_back(now);
+        while (now - this->arrivals.front() > WINDOW)
+            this->arrivals.pop_front();
+        ++this->stated;
+        const double allowed
+            = TOLERANCE * options.requestRate * std::chrono::duration<double>(WINDOW).count()
+            + EXTRA_ARRIVALS;
+        const bool binds = now >= *this->firstStatedAt + BINDS_AFTER;
+        this->exceeded += binds && static_cast<double>(this->arrivals.size()) > allowed ? 1 : 0;
+    }
+
+    static constexpr std::chrono::seconds WINDOW{4};
+    static constexpr std::chrono::seconds BINDS_AFTER{3}; ///< After the first statement.
+    /** By then, every host has learned the rate or lost its lease on the list of targets. */
+    static constexpr std::chrono::milliseconds HOST_BINDS_AFTER{2'500};
+    static constexpr double TOLERANCE = 1.5; ///< As a multiple of what the rate allows.
+    static constexpr double EXTRA_ARRIVALS = 5; ///< In one window, beyond that.
+
+    Clock::time_point startedAt = Clock::now();
+    std::optional<Clock::time_point> firstStatedAt;
+    std::deque<Clock::time_point> arrivals;
+    std::int64_t stated = 0; ///< Arrivals while the rate was stated.
+    std::int64_t exceeded = 0; ///< Arrivals beyond the rate.
+};
+
 /**
  * Bounds of the arrival time of an order.
  * The bounds differ if the process was paused when the order may have arrived.
@@ -103,6 +156,7 @@
     std::map<std::string, RetainedStream> streams;
     std::set<std::string> brokenStreams;
     std::int64_t loadsDone = 0;
+    RateMonitor rate;
     std::int64_t overcommits = 0;
     std::int64_t overloads = 0;
     std::int64_t keysSeen = 0;
@@ -278,6 +332,8 @@
             {"doubled", doubled},
             {"loads", fake.loadsDone},
             {"overcommits", fake.overcommits},
+            {"arrivalsWithRate", fake.rate.stated},
+            {"arrivalsOverRate", fake.rate.exceeded},
             {"overloads", fake.overloads},
             {"mostRunning", fake.mostRunning},
             {"keysSeen", fake.keysSeen},
@@ -305,8 +361,16 @@
     return value == nullptr ? "" : value;
 }
 
+/** States the request rate in an answer. @param rate 0: none. */
+void addStatement(MHD_Response *response, double rate)
+{
+    if (rate > 0)
+        MHD_add_response_header(response, "X-Request-Rate", std::to_string(rate).c_str());
+}
+
 MHD_Result send(MHD_Connection *connection, int status, const std::string &type,
-                const std::string &body, const std::string &correlation, bool notRun = false)
+                const std::string &body, const std::string &correlation, bool notRun = false,
+                double requestRate = 0)
 {
     MHD_Response *response = MHD_create_response_from_buffer(
         body.size(), const_cast<char *>(body.data()), MHD_RESPMEM_MUST_COPY);
@@ -314,6 +378,7 @@
     MHD_add_response_header(response, "X-Correlation-Id", correlation.c_str());
     if (notRun)
         MHD_add_response_header(response, "X-Execution", "not-run");
+    addStatement(response, requestRate);
     const MHD_Result result
         = MHD_queue_response(connection, static_cast<unsigned>(status), response);
     MHD_destroy_response(response);
@@ -385,6 +450,15 @@
     return true;
 }
 
+/** Counts a request against the stated rate. @return The rate to state in its answer; 0: none. */
+double recordArrival(FakeTarget &fake)
+{
+    absl::MutexLock lock(&fake.mutex);
+    const Clock::time_point now = Clock::now();
+    fake.rate.record(fake.options, now);
+    return fake.rate.states(fake.options, now) ? fake.options.requestRate : 0;
+}
+
 void finishRequest(FakeTarget &fake)
 {
     absl::MutexLock lock(&fake.mutex);
@@ -393,7 +467,7 @@
 }
 
 MHD_Result serveEngine(FakeTarget &fake, MHD_Connection *connection, const WorkRequest &request,
-                       const std::string &correlation)
+                       const std::string &correlation, double rate)
 {
     const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
     const std::string model = body.is_object() ? body.value("model", "") : "";
@@ -401,10 +475,11 @@
         absl::MutexLock lock(&fake.mutex);
         if (!isVariantLoaded(fake, model))
             return send(connection, 503, "application/json", R"({"error":"not loaded"})",
-                        correlation, true);
+                        correlation, true, rate);
     }
     if (!admitRequest(fake))
-        return send(connection, 503, "application/json", R"({"error":"full"})", correlation, true);
+        return send(connection, 503, "application/json", R"({"error":"full"})", correlation, true,
+                    rate);
     std::this_thread::sleep_for(std::chrono::milliseconds(fake.options.firstTokenMs));
     const int tokens = body.value("max_tokens", 16);
     if (!body.value("stream", false)) {
@@ -414,7 +489,7 @@
                                     {"echo", body.value("prompt", "")},
                                     {"choices", {{{"text", "served by " + fake.options.id}}}},
                                     {"usage", {{"completion_tokens", tokens}}}};
-        return send(connection, 200, "application/json", answer.dump(), correlation);
+        return send(connection, 200, "application/json", answer.dump(), correlation, false, rate);
     }
     auto *stream = new StreamState{&fake, {}, 0, 0};
     const std::string lastEvent = headerValue(connection, "Last-Event-ID");
@@ -431,16 +506,18 @@
                                                                &streamEvents, stream, &freeStream);
     MHD_add_response_header(response, "Content-Type", "text/event-stream");
     MHD_add_response_header(response, "X-Correlation-Id", correlation.c_str());
+    addStatement(response, rate);
     const MHD_Result result = MHD_queue_response(connection, 200, response);
     MHD_destroy_response(response);
     return result;
 }
 
 MHD_Result serveCall(FakeTarget &fake, MHD_Connection *connection, const WorkRequest &request,
-                     const std::string &correlation)
+                     const std::string &correlation, double rate)
 {
     if (!admitRequest(fake))
-        return send(connection, 503, "application/json", R"({"error":"full"})", correlation, true);
+        return send(connection, 503, "application/json", R"({"error":"full"})", correlation, true,
+                    rate);
     std::this_thread::sleep_for(std::chrono::milliseconds(fake.options.serviceMs));
     int count = 0;
     bool answerLost = false;
@@ -457,7 +534,7 @@
                                 {"path", request.path},
                                 {"echo", request.body},
                                 {"count", count}};
-    return send(connection, 200, "application/json", answer.dump(), correlation);
+    return send(connection, 200, "application/json", answer.dump(), correlation, false, rate);
 }
 
 MHD_Result handleRequest(void *self, MHD_Connection *connection, const char *url,
@@ -497,8 +574,10 @@
         std::this_thread::sleep_for(std::chrono::hours(1));
     const std::string correlation
         = bodyContains(fake.options.crossWord) ? "0" : headerValue(connection, "X-Correlation-Id");
-    return fake.options.kind == "engine" ? serveEngine(fake, connection, *request, correlation)
-                                         : serveCall(fake, connection, *request, correlation);
+    const double rate = recordArrival(fake);
+    return fake.options.kind == "engine"
+        ? serveEngine(fake, connection, *request, correlation, rate)
+        : serveCall(fake, connection, *request, correlation, rate);
 }
 
 void freeRequest(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode)
@@ -618,10 +697,12 @@
         "token-ms", po::value(&o.tokenMs))("first-ms", po::value(&o.firstTokenMs))(
         "service-ms", po::value(&o.serviceMs))("remote-load-ms", po::value(&o.remoteLoadMs))(
         "disk-load-ms", po::value(&o.diskLoadMs))("warmup-ms", po::value(&o.warmupMs))(
-        "checks-fencing", po::bool_switch(&o.checksFencing))("separation-ms",
-                                                             po::value(&o.separationMs))(
-        "crash-word", po::value(&o.crashWord))("silent-word", po::value(&o.silentWord))(
-        "cross-word", po::value(&o.crossWord))("break-word", po::value(&o.breakWord))(
+        "checks-fencing", po::bool_switch(&o.checksFencing))(
+        "separation-ms", po::value(&o.separationMs))("crash-word", po::value(&o.crashWord))(
+        "silent-word", po::value(&o.silentWord))("cross-word", po::value(&o.crossWord))(
+        "break-word", po::value(&o.breakWord))("request-rate", po::value(&o.requestRate))(
+        "rate-after-ms", po::value(&o.statesRateAfterMs))("rate-for-ms",
+                                                          po::value(&o.statesRateForMs))(
         "fault-percent", po::value(&o.faultPercent))("seed", po::value(&o.seed));
     po::variables_map values;
     try {
--- a/src/tests/system/scenarios.py
+++ b/src/tests/system/scenarios.py
@@ -27,10 +27,11 @@
 CONFIG = "an accepted configuration is in force everywhere and never reverts"
 FAIRNESS = "no account starves another"
 QUARANTINE = "only a request that crashes its targets is quarantined"
+TARGET_RATE = "no target gets more requests a second than it states"
 RECOVERY = "service recovers after the failure"
 
 CI = {"unrepeatable_with_lost_answers", "not_run_is_true", "operators_race", "cold_burst",
-      "key_withdrawn", "platform_whole_path", "short_soak",
+      "key_withdrawn", "platform_whole_path", "short_soak", "stated_request_rate",
       "leader_handed_over_while_an_order_arrives_late"}
 SOAK_SEED = 3
 SOAK_SECONDS = 8
@@ -138,6 +139,31 @@
         check_targets(report, site)
 
 
+def scenario_stated_request_rate(build, report, seed):
+    """The only target of a service states a request rate; meanwhile the leader is killed."""
+    with running(build, engines=1, ledgers=0, calendars=0) as site:
+        site.start_target("c1", "z1", "--request-rate", "2", "--rate-after-ms", "3000",
+                          "--rate-for-ms", "10000", kind="service", service="calendar")
+        site.wait_targets(2)
+        finish = site.load(16, [{"account": "desk", "path": "/calendar", "perSecond": 20,
+                                 "timeLimitMs": 3000}], seed)
+        time.sleep(7)
+        leader = site.leader()
+        site.kill(leader)
+        time.sleep(1)
+        site.restart(leader)
+        _, outcomes = finish()
+        seen = site.statistics("c1")
+        report.check(TARGET_RATE, seen["arrivalsOverRate"] == 0, f"{seen}")
+        report.check(TARGET_RATE, seen["arrivalsWithRate"] >= 8, f"unused: {seen}")
+        limited = [o for o in outcomes if o["type"] == "target_rate_limited"]
+        report.check(NOT_RUN, limited and all(o["status"] == 503 for o in limited),
+                     f"{len(limited)} refusals")
+        finish = site.load(2, [{"account": "desk", "path": "/calendar", "perSecond": 20,
+                                "timeLimitMs": 3000}], seed)
+        check_answers(report, finish()[1], min_share=0.95)  # The limit has ended.
+
+
 def scenario_leader_frozen(build, report, seed):
     """The leader is paused for longer than any lease and resumes."""
     with running(build) as site:
--- a/src/tests/system/soak.py
+++ b/src/tests/system/soak.py
@@ -16,7 +16,8 @@
 
 from fleet import Site, default_config, free_ports, http, wait_for
 from run import Report
-from scenarios import (CONFIG, RATE, RECOVERY, check_answers, check_targets, mixed_load)
+from scenarios import (CONFIG, RATE, RECOVERY, TARGET_RATE, check_answers, check_targets,
+                       mixed_load)
 
 REGRESSIONS = {  # Seed: cause of its failure.
     4: "a new leader sent an order 3 s after its election; an old leader's order was in transit",
@@ -205,8 +206,12 @@
                               "--remote-load-ms", "400", "--memory-mb", "48000")
         lost = str(self.random.choice([0, 5, 15]))
         site.start_target("l1", "z1", "--fault-percent", lost, kind="service", service="holds")
-        for i in range(2):
-            site.start_target(f"c{i + 1}", site.zones[i], kind="service", service="calendar")
+        site.start_target("c1", site.zones[0], kind="service", service="calendar")
+        # Never paused or killed, so that it counts the arrivals as they come.
+        site.start_target("c2", site.zones[1], "--request-rate",
+                          str(self.random.choice([0.5, 2, 8])), "--rate-after-ms",
+                          str(self.random.randint(1000, 4000)), "--rate-for-ms", "6000",
+                          kind="service", service="calendar")
         site.set_up()
         site.wait_targets(self.engines + 3)
 
@@ -401,6 +406,8 @@
             check_rate(self.report, outcomes)
             self.check_recovery()
             check_targets(self.report, self.site, engines=self.engines)
+            seen = self.site.statistics("c2")
+            self.report.check(TARGET_RATE, seen["arrivalsOverRate"] == 0, f"{seen}")
             self.handed_over_engines = sum(self.site.statistics(f"e{i + 1}")["holders"] > 1
                                            for i in range(self.engines))
         finally:
