Codechange: [Net] Orders and inspections have a file of their own

target_client.cpp (490 lines) held the loop for attempts and the whole of orders; these are now a class ControlTransfer with factories, as attempts have Transfer.

--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -1,15 +1,10 @@
 /** @file target_client.cpp HTTP client towards targets on one libcurl multi loop. */
 #include "net/target_client_base.h"
 
-#include "core/log_func.h"
+#include "net/control_transfer_base.h"
 #include "net/transfer_base.h"
 
-#include <absl/strings/str_cat.h>
-#include <cerrno>
 #include <map>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <thread>
 
 namespace bilberry {
@@ -19,15 +14,6 @@
 constexpr std::size_t TASK_QUEUE_CAPACITY = 65'536;
 constexpr int POLL_TIMEOUT_MS = 20;
 constexpr Duration STALL_CHECK_INTERVAL = 20ms;
-constexpr long HTTP_OK = 200;
-constexpr long HTTP_CONFLICT = 409;
-constexpr long INSPECTION_TIMEOUT_MS = 2'000;
-constexpr Duration ORDER_ANSWER_TIMEOUT = 1s; ///< From an order's sendBy until its answer.
-/** TCP user timeout: the kernel stops retransmitting an order's bytes after this time. The other
- * half of MAX_ORDER_TRANSIT_TIME is left for the time until the bytes are first sent. */
-constexpr Duration ORDER_TCP_USER_TIMEOUT = MAX_ORDER_TRANSIT_TIME / 2;
-/** Bound of the body of an answer to an order or inspection. */
-constexpr std::size_t MAX_ORDER_ANSWER_BYTES = 1 << 20;
 constexpr long MAX_POOLED_CONNECTIONS = 1'024;
 
 /** Task: cancels an attempt. */
@@ -57,96 +43,6 @@
 using Task = std::variant<StartAttempt, Cancel, RetireIdleConnections, Unpause, SendOrder,
                           InspectTarget, CallBack>;
 
-/** HTTP transfer of an order or of an inspection. */
-struct ControlTransfer
-{
-    std::variant<SendOrder, InspectTarget> call;
-    std::string body; ///< Body of the request.
-    std::string answer; ///< Body of the answer, as far as received.
-    std::size_t headBytes = 0; ///< Bytes of the answer's header lines so far.
-    bool headComplete = false; ///< The empty line after the latest header lines has arrived.
-    CURL *easy = nullptr;
-    curl_slist *headers = nullptr;
-    bool pastSendBy = false; ///< Not sent: connected only after the order's sendBy.
-};
-
-std::size_t appendAnswer(char *data, std::size_t size, std::size_t count, void *self)
-{
-    auto &transfer = *static_cast<ControlTransfer *>(self);
-    if (transfer.answer.size() + size * count > MAX_ORDER_ANSWER_BYTES) {
-        logEventRateLimited("orderAnswerTooLong", {{"bound", ResponseLimit::BodySize}});
-        return 0;
-    }
-    transfer.answer.append(data, size * count);
-    return size * count;
-}
-
-std::size_t countHeaderBytes(char *line, std::size_t size, std::size_t count, void *self)
-{
-    auto &transfer = *static_cast<ControlTransfer *>(self);
-    transfer.headComplete
-        = std::string_view(line, size * count).find_first_not_of("\r\n") == std::string_view::npos;
-    transfer.headBytes += size * count;
-    if (transfer.headBytes <= MAX_HEADER_BYTES)
-        return size * count;
-    logEventRateLimited("orderAnswerTooLong", {{"bound", ResponseLimit::HeaderSize}});
-    return 0;
-}
-
-/** Logs @p event about an order, with the order's age at @p now. */
-void logOrder(const char *event, const SendOrder &order, TimePoint now)
-{
-    logEventRateLimited(event,
-                        {{"replica", order.replica},
-                         {"action", order.order.action},
-                         {"fencing", order.order.fencing},
-                         {"term", order.term},
-                         {"ageMs", toMilliseconds(now - order.decidedAt)}});
-}
-
-/** Called when the connection is established, just before the first byte is sent: aborts an order
- * that is past its sendBy. Checking earlier is not enough, as connecting takes time. */
-int beforeSending(void *transfer, char *, char *, int, int)
-{
-    auto &pastSendBy = static_cast<ControlTransfer *>(transfer)->pastSendBy;
-    const SendOrder &order = std::get<SendOrder>(static_cast<ControlTransfer *>(transfer)->call);
-    const TimePoint now = MonotonicClock::now();
-    pastSendBy = now >= order.sendBy;
-    logOrder(pastSendBy ? "orderHeldBack" : "orderSent", order, now);
-    return pastSendBy ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
-}
-
-/**
- * Ensures that bytes of an order that have not reached the target in time never reach the target:
- * the kernel gives up retransmitting early, and closing the connection, also by the end of the
- * process, discards unsent bytes.
- */
-int limitOrderDelivery(void *, curl_socket_t socket, curlsocktype)
-{
-    const linger resetOnClose{1, 0};
-    const auto userTimeoutMs = static_cast<unsigned>(toMilliseconds(ORDER_TCP_USER_TIMEOUT));
-    const bool configured
-        = setsockopt(socket, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose)) == 0
-        && setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof(userTimeoutMs))
-            == 0;
-    if (!configured)
-        logEventRateLimited("orderSocketUnbounded", {{"errno", errno}});
-    return configured ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
-}
-
-/** @return Outcome of an order, derived from its answer; Unknown if the target may have accepted
- * the order although no valid answer arrived. */
-OrderReply toOrderReply(CURLcode code, long status)
-{
-    if (code != CURLE_OK)
-        return OrderReply::Unknown;
-    if (status >= HTTP_OK && status < 300)
-        return OrderReply::Accepted;
-    if (status == HTTP_CONFLICT)
-        return OrderReply::Busy;
-    return status >= 400 && status < 500 ? OrderReply::Refused : OrderReply::Unknown;
-}
-
 } // namespace
 
 class TargetClient::Impl
@@ -171,10 +67,7 @@
     {
         this->stop();
         this->transfers.clear();
-        for (auto &[easy, order] : this->controlTransfers) {
-            curl_easy_cleanup(easy);
-            curl_slist_free_all(order->headers);
-        }
+        this->controlTransfers.clear();
         curl_multi_cleanup(this->multi);
     }
 
@@ -272,25 +165,7 @@
                 OrderReplyEvent{order.replica, order.order.fencing, OrderReply::Unsent});
             return;
         }
-        auto transfer = std::make_unique<ControlTransfer>();
-        transfer->call = order;
-        EncodedOrder encoded = this->edge.encodeOrder(order.order, this->holder);
-        transfer->body = std::move(encoded.body);
-        for (const auto &[name, value] : encoded.headers)
-            transfer->headers
-                = curl_slist_append(transfer->headers, absl::StrCat(name, ": ", value).c_str());
-        this->prepare(*transfer, absl::StrCat("http://", order.address, encoded.path));
-        const long connectTimeoutMs = static_cast<long>(toMilliseconds(order.sendBy - now)) + 1;
-        const long answerTimeoutMs = static_cast<long>(toMilliseconds(ORDER_ANSWER_TIMEOUT));
-        CURL *easy = transfer->easy;
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, connectTimeoutMs + answerTimeoutMs);
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &limitOrderDelivery);
-        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeSending);
-        curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
-        this->begin(std::move(transfer));
+        this->begin(ControlTransfer::makeOrder(order, this->edge, this->holder, now));
     }
 
     void handle(const InspectTarget &item)
@@ -300,34 +175,12 @@
             this->onControlEvent(InspectionEvent{item.target, item.start, {}});
             return;
         }
-        auto transfer = std::make_unique<ControlTransfer>();
-        transfer->call = item;
-        this->prepare(*transfer, absl::StrCat("http://", item.address, path));
-        curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS, INSPECTION_TIMEOUT_MS);
-        this->begin(std::move(transfer));
-    }
-
-    static void prepare(ControlTransfer &transfer, const std::string &url)
-    {
-        CURL *easy = curl_easy_init();
-        transfer.easy = easy;
-        curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-        curl_easy_setopt(easy, CURLOPT_PROXY, "");
-        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-        // libcurl may resend a request on a new connection after a reused connection fails. An
-        // order must not be sent twice, so it never uses a pooled connection.
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
-        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendAnswer);
-        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &countHeaderBytes);
-        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+        this->begin(ControlTransfer::makeInspection(item, path));
     }
 
     void begin(std::unique_ptr<ControlTransfer> transfer)
     {
-        CURL *easy = transfer->easy;
+        CURL *easy = transfer->handle();
         curl_multi_add_handle(this->multi, easy);
         this->controlTransfers[easy] = std::move(transfer);
     }
@@ -363,45 +216,14 @@
         this->onAttemptEvent(std::move(ended));
     }
 
-    void concludeControl(std::map<CURL *, std::unique_ptr<ControlTransfer>>::iterator it,
-                         CURLcode code)
+    using ControlTransfers = std::map<CURL *, std::unique_ptr<ControlTransfer>>;
+
+    void concludeControl(ControlTransfers::iterator it, CURLcode code)
     {
-        ControlTransfer &transfer = *it->second;
-        // libcurl takes a connection that closes inside the head for the end of the answer.
-        if (code == CURLE_OK && !transfer.headComplete)
-            code = CURLE_PARTIAL_FILE;
-        long status = 0;
-        long sent = 0;
-        curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-        curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent);
-        if (const auto *inspected = std::get_if<InspectTarget>(&transfer.call)) {
-            InspectionEvent event{inspected->target, inspected->start, {}};
-            if (code == CURLE_OK && status == HTTP_OK)
-                event.inspection = this->edge.readInspection(transfer.answer);
-            this->onControlEvent(std::move(event));
-        } else {
-            const SendOrder &order = std::get<SendOrder>(transfer.call);
-            const bool nothingSent = code != CURLE_OK && sent == 0;
-            const bool late
-                = transfer.pastSendBy || (nothingSent && code == CURLE_OPERATION_TIMEDOUT);
-            const OrderReply reply = late ? OrderReply::Unsent
-                : nothingSent             ? OrderReply::Refused
-                                          : toOrderReply(code, status);
-            const bool done = code == CURLE_OK && status == HTTP_OK;
-            logEventRateLimited(
-                "orderAnswered",
-                {{"replica", order.replica},
-                 {"fencing", order.order.fencing},
-                 {"term", order.term},
-                 {"reply", static_cast<int>(reply)},
-                 {"status", status},
-                 {"ageMs", toMilliseconds(MonotonicClock::now() - order.decidedAt)}});
-            this->onControlEvent(OrderReplyEvent{order.replica, order.order.fencing, reply, done});
-        }
-        curl_multi_remove_handle(this->multi, transfer.easy);
-        curl_easy_cleanup(transfer.easy);
-        curl_slist_free_all(transfer.headers);
+        curl_multi_remove_handle(this->multi, it->first);
+        ControlEvent event = it->second->conclude(code, this->edge, MonotonicClock::now());
         this->controlTransfers.erase(it);
+        this->onControlEvent(std::move(event));
     }
 
     void endStalled(TimePoint now)
@@ -432,7 +254,7 @@
     BoundedQueue<Task> taskQueue;
     CURLM *multi;
     Transfers transfers;
-    std::map<CURL *, std::unique_ptr<ControlTransfer>> controlTransfers;
+    ControlTransfers controlTransfers;
     /** For each address, the time of the last RetireIdleConnections. */
     std::map<std::string, TimePoint> retiredAt;
     std::thread thread;
