--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -137,7 +137,9 @@
         if (now < tickDue)
             continue;
         tickDue = now + TICK_INTERVAL;
-        this->execute(step(this->control, ControlTickEvent{}, now));
+        this->handle(ControlTickEvent{});
+        if (this->isLeader())
+            logDecisionLoad(this->load, this->inbox.hostMessages.size(), now);
         absl::MutexLock lock(&this->linksMutex);
         for (const auto &[address, link] : this->links)
             link->openIfDue(now);
@@ -161,7 +163,11 @@
 
 void ControlRunner::handle(const ControlEvent &event)
 {
-    this->execute(step(this->control, event, MonotonicClock::now()));
+    const TimePoint began = MonotonicClock::now();
+    ControlEffects effects = step(this->control, event, began);
+    const TimePoint decided = MonotonicClock::now();
+    this->execute(std::move(effects));
+    recordDecision(this->load, kindOf(event), began, decided, MonotonicClock::now());
 }
 
 void ControlRunner::execute(ControlEffects effects)
--- a/src/daemon/control_runner_base.h
+++ b/src/daemon/control_runner_base.h
@@ -5,6 +5,7 @@
 #include "config/settings_type.h"
 #include "control/control_inbox_base.h"
 #include "core/bounded_queue.h"
+#include "daemon/decision_load_base.h"
 #include "journal/journal_base.h"
 #include "net/peer_client_base.h"
 #include "net/peer_server_base.h"
@@ -95,6 +96,7 @@
     BoundedQueue<JournalWrite> writes; ///< For the journal thread.
     Control control; ///< Accessed only by the decision thread.
     ControlInbox inbox; ///< Accessed only by the decision thread.
+    DecisionLoad load; ///< Accessed only by the decision thread.
     std::uint64_t lastLoggedDrops = 0; ///< Value of inbox.dropped that was logged last.
     absl::Mutex linksMutex; ///< Guards the links and addresses, as both threads send.
     std::map<std::string, std::unique_ptr<PeerClient>>
