Fix: [Host] Requests of an account beyond its rate claim no slots while the leader has no budget for them

Callers of a small service waited 500 ms and more for a slot, or were refused, while 4 % of the slots were in use.

Cause: a report claims slots for requests that still wait for a budget, so that budget and slot come in one round trip. Change: after a grant that left the account's budgets short, its waiting requests claim no slots.

--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -109,7 +109,8 @@
 
 /**
  * @return Counts of the waiting requests. Those that still wait for a budget are included, so that
- * the leader grants budget and slot in one round trip.
+ * the leader grants budget and slot in one round trip, unless the leader's last grant left the
+ * budget short: a slot would lie idle meanwhile.
  */
 WaitingCounts countWaiting(const Host &host)
 {
@@ -121,6 +122,8 @@
         }
     }
     for (const auto &[account, held] : host.accounts) {
+        if (held.shortSince)
+            continue;
         for (const RequestId id : held.waiting)
             ++counts[host.requests.at(id).group][account];
     }
