Fix: [Control] A host's claim to slots ends with the report that no longer names the target

Callers of a small service waited 500 ms and more for a slot, or were refused, while 4 % of the slots were in use.

Cause: a host that asks at few targets names another one in each report. Its claim at the earlier target counted for a second, so that a waiting call claimed all targets at once; the shares, made from claims, were 0 for hosts with a call that waits now. Change: the leader keeps which targets a host's last report named, and ends the claims at those that the next one leaves out.

Test: of 18 hosts that ask at a target whose slots are all free, 1 got one before, 18 after.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -90,6 +90,8 @@
     bool servesCallers = true;
     std::optional<ControlCandidate> member; ///< Control member of the same daemon.
     TimePoint lastReportAt;
+    /** Targets at which the last report had running or waiting requests. */
+    std::set<TargetId> claimedTargets;
 };
 
 /**
--- a/src/control/slot_grant.cpp
+++ b/src/control/slot_grant.cpp
@@ -245,6 +245,27 @@
     entry.modified = Version(++leadership.registry.version.value);
 }
 
+/** Ends the claims of a host at targets that its report does not name: nothing runs or waits there
+ * any more. */
+void endUnnamedClaims(Leadership &leadership, const HostReport &report)
+{
+    std::set<TargetId> &claimed = leadership.hosts[report.holder.host].claimedTargets;
+    std::set<TargetId> named;
+    for (const SlotUse &use : report.slots) {
+        if (!use.demand.empty())
+            named.insert(use.target);
+    }
+    for (const TargetId &target : claimed) {
+        const auto slots = leadership.slots.find(target);
+        if (named.contains(target) || slots == leadership.slots.end())
+            continue;
+        const auto demand = slots->second.demands.find(report.holder);
+        if (demand != slots->second.demands.end())
+            demand->second.demand.clear();
+    }
+    claimed = std::move(named);
+}
+
 } // namespace
 
 std::int64_t reportAndGrant(LeasedPool &pool, const HolderId &holder, const PoolUse &use,
@@ -264,6 +285,7 @@
 {
     Leadership &leadership = *control.leadership;
     const bool sameTerm = report.term == leadership.term;
+    endUnnamedClaims(leadership, report);
     for (const SlotUse &use : report.slots) {
         const auto entry = leadership.registry.targets.find(use.target);
         if (entry == leadership.registry.targets.end()
