Fix: [Control] A new claim to slots counts at once, not from the next division of the slots

Cause: a host without a claim at the last division of a target's slots, at most 20 ms before, gets a share of 0, even if slots are free; its next report comes up to 200 ms later. Change: the slots are divided anew when a host that has no share yet claims one. Test: a host of another account gets the free slot; 0 before, 1 after.

--- a/src/control/slot_grant.cpp
+++ b/src/control/slot_grant.cpp
@@ -131,7 +131,11 @@
 /** @return Most slots that @p holder should hold; -1: no limit, as there are free slots. */
 int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now)
 {
-    if (now >= slots.sharesComputedAt + SHARE_UPDATE_INTERVAL) {
+    const std::vector<AccountDemand> &own = slots.demands[holder].demand;
+    // A new claim does not wait for the next computation: the host's next report may come long
+    // after.
+    const bool isNew = !own.empty() && !slots.shares.empty() && !slots.shares.contains(holder);
+    if (isNew || now >= slots.sharesComputedAt + SHARE_UPDATE_INTERVAL) {
         slots.sharesComputedAt = now;
         const SlotClaims claims = collectClaims(control, slots, now);
         slots.shares.clear();
@@ -147,7 +151,7 @@
         return -1;
     // No slot is free: each host keeps only as many slots as its demand and returns idle ones.
     int ownDemand = 0;
-    for (const AccountDemand &item : slots.demands[holder].demand)
+    for (const AccountDemand &item : own)
         ownDemand += item.demand;
     return ownDemand;
 }
--- a/src/tests/slot_claims_test.cpp
+++ b/src/tests/slot_claims_test.cpp
@@ -98,3 +98,21 @@
         granted += leader.ask(CLAIMANTS + i, "t0", now + 40ms);
     cr_expect_eq(granted, LENT, "%d of %d", static_cast<int>(granted), LENT);
 }
+
+// Guards against a host that gets no free slot because it was not among the hosts at the last
+// division of the slots: its next report comes long after.
+Test(slot_claims, new_claim_counts_at_once)
+{
+    SlotLeader leader;
+    const TimePoint now = leader.simulation.now();
+    for (int i = 0; i < LENT - 1; ++i)
+        cr_assert_eq(leader.ask(i, "t0", now), 1);
+    // One host claims the rest and more, so that the slots are divided.
+    Leadership &leadership = *leader.simulation.control.leadership;
+    TargetSlots &slots = leadership.slots.at(TargetId("t0"));
+    slots.demands.at({HostId("asking-0"), 1}).demand = {{AccountId("a"), 10}};
+    leader.ask(1, "t0", now + 30ms);
+    cr_assert(!slots.shares.empty());
+    cr_assert_eq(slots.pool.level, 1);
+    cr_expect_eq(leader.ask(50, "t0", now + 35ms, "b"), 1);
+}
