Fix: [Host] [Control] A take-up waits for targets that its host does not know yet

Seen in simulated time: a host whose reports were lost for 1.6 s while targets of a second software version joined refused all 20 take-ups of streams that these targets had begun, at once and for good (stream_version_gone). Cause: the origin comes from the leader, the list of targets is the host's own; that it lacks a target says nothing while it is older. Change: the answer to a stream query carries the version of the leader's registry. Until the host's registry is as new, the take-up waits within its patience, and the host reports at once.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -71,6 +71,17 @@
         {pending.holder, CallAnswer{pending.request, command.id, outcome.verdict, outcome.answer}});
 }
 
+/** Answers with the origin and the version of the registry, without whose targets the host cannot
+ * tell whether the origin is gone. */
+void answerStreamQuery(const Leadership &leadership, const HolderId &holder, RequestId request,
+                       const std::optional<StreamOrigin> &origin, std::uint64_t revision,
+                       ControlEffects &effects)
+{
+    effects.toHosts.push_back({holder,
+                               StreamAnswer{request, origin, revision, leadership.registry.epoch,
+                                            leadership.registry.version}});
+}
+
 void answerPending(Control &control, const PendingCommand &pending, const Command &command,
                    const CommandOutcome &outcome, ControlEffects &effects)
 {
@@ -87,9 +98,8 @@
         effects.toHosts.push_back({pending.holder, CallReportAck{pending.request}});
         return;
     case PendingCommand::Kind::Stream:
-        effects.toHosts.push_back({pending.holder,
-                                   StreamAnswer{pending.request, outcome.origin,
-                                                std::get<RecordStream>(command.body).revision}});
+        answerStreamQuery(*control.leadership, pending.holder, pending.request, outcome.origin,
+                          std::get<RecordStream>(command.body).revision, effects);
         return;
     case PendingCommand::Kind::Operator:
         effects.toHosts.push_back(
@@ -150,10 +160,8 @@
     if (!control.leadership->active)
         return;
     if (!query.begin) {
-        effects.toHosts.push_back(
-            {query.holder,
-             StreamAnswer{query.request, findStream(control.cluster.streams, query.id),
-                          query.revision}});
+        answerStreamQuery(*control.leadership, query.holder, query.request,
+                          findStream(control.cluster.streams, query.id), query.revision, effects);
         return;
     }
     PendingCommand pending;
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -102,6 +102,9 @@
     /** Origin that the leader is to record; only in WaitingForOrigin, empty for a take-up. */
     std::optional<StreamOrigin> proposedOrigin;
     std::uint64_t originRevision = 0; ///< StreamQuery::revision of the latest query.
+    /** Epoch and version of the leader's registry when it named @c origin. */
+    std::uint64_t originEpoch = 0;
+    Version originRegistry;
     bool heldByRate = false; ///< The request has waited for a target's request rate.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
@@ -109,7 +112,7 @@
     charged, arrived, admittedAt, deadline, waitUntil, queuedAt, firstDispatchAt, dispatchedAt,
     attempt, correlation, target, targetStart, attempts, runs, mostRuns, resumable, tried, maySent,
     callerGone, eventsRelayed, suspected, begunAt, beginCounted, trialUntil, heldByRate, origin,
-    proposedOrigin, originRevision)
+    proposedOrigin, originRevision, originEpoch, originRegistry)
 
 /** A lost request that the leader's present suspicions may rest on. */
 struct HeldLoss
--- a/src/host/stream_cmd.cpp
+++ b/src/host/stream_cmd.cpp
@@ -67,6 +67,13 @@
     return !request.asked.takesUp && request.eventsRelayed == 0;
 }
 
+/** @return Whether the leader knew a later registry than this host when it named the origin. */
+bool isBehindOrigin(const Host &host, const Request &request)
+{
+    return std::pair(host.registryEpoch, host.registry)
+        < std::pair(request.originEpoch, request.originRegistry);
+}
+
 /** Sets the origin of the request's stream, and goes on with the request. */
 void applyOrigin(Host &host, Request &request, const StreamOrigin &origin, HostEffects &effects,
                  TimePoint now)
@@ -137,6 +144,8 @@
         refuse(host, answer.request, RefusalCode::StreamUnknown, effects, now);
         return;
     }
+    request.originEpoch = answer.registryEpoch;
+    request.originRegistry = answer.registry;
     ++(request.asked.takesUp ? host.counters.streamsTakenUp : host.counters.streamsRecorded);
     applyOrigin(host, request, *answer.origin, effects, now);
 }
@@ -162,6 +171,10 @@
         && hasTargets(host, *request.origin) && now + MIN_LOAD_TIME < latestDispatch(request);
     if (mayLoad)
         return false;
+    if (isBehindOrigin(host, request)) {
+        host.promptReportRequested = host.earlyReportRequested = true;
+        return false;
+    }
     refuse(host, request.asked.request, RefusalCode::StreamVersionGone, effects, now);
     return true;
 }
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -315,8 +315,11 @@
     RequestId request;
     std::optional<StreamOrigin> origin; ///< Empty: there is no record of the stream.
     std::uint64_t revision = 0; ///< StreamQuery::revision of the query.
+    std::uint64_t registryEpoch = 0; ///< Epoch of @c registry.
+    Version registry; ///< Version of the leader's target registry at the time of the answer.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StreamAnswer, request, origin, revision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StreamAnswer, request, origin, revision,
+                                                registryEpoch, registry)
 
 /** Acknowledges that a CallReport is committed. */
 struct CallReportAck
--- a/src/tests/stream_version_test.cpp
+++ b/src/tests/stream_version_test.cpp
@@ -76,6 +76,13 @@
     /** Begins a stream, or takes one up if @p resumes is set. @return Number of the host, id. */
     std::pair<int, RequestId> send(const std::string &tag, const std::string &resumes = "",
                                    const AccountId &account = ACCOUNT)
+    {
+        const int host = std::uniform_int_distribution<>(0, HOSTS - 1)(this->random);
+        return this->sendTo(host, tag, resumes, account);
+    }
+
+    std::pair<int, RequestId> sendTo(int host, const std::string &tag, const std::string &resumes,
+                                     const AccountId &account = ACCOUNT)
     {
         CallerRequest request;
         request.key = DecisionSimulation::keyOf(account);
@@ -85,7 +92,6 @@
         request.resumes = resumes;
         request.takesUp = !resumes.empty();
         request.body = digestOf({tag});
-        const int host = std::uniform_int_distribution<>(0, HOSTS - 1)(this->random);
         const RequestId id = this->simulation.send(host, request, this->simulation.now());
         this->streamOf[id] = resumes.empty() ? tag : resumes;
         this->sentAt[{host, id}] = this->simulation.now();
@@ -240,6 +246,47 @@
     cr_expect_eq(world.mixed(), 0);
 }
 
+// Guards against a take-up that is refused for good only because its host does not know yet the
+// targets that have begun the stream.
+Test(stream_version, take_up_waits_for_targets_that_its_host_does_not_know_yet, .timeout = 60)
+{
+    StreamWorld world(1);
+    for (int i = 0; i < 4; ++i)
+        world.addTarget(i, "v1");
+    world.run(WARM_UP);
+    bool behind = true;
+    world.simulation.dropEffect = [&](const HostEffect &effect) {
+        const auto *message = std::get_if<SendControl>(&effect);
+        const auto *report = message ? std::get_if<HostReport>(&message->message) : nullptr;
+        return behind && report != nullptr && report->holder.host == HostId("h0");
+    };
+    for (int i = 0; i < 4; ++i) {
+        TargetAnnouncement &old
+            = world.simulation.targets.at(TargetId("t" + std::to_string(i))).announcement;
+        old.leaving = true;
+        ++old.sequence;
+        world.addTarget(4 + i, "v2");
+    }
+    world.run(1200ms);
+    std::vector<std::string> names;
+    for (int i = 0; i < 20; ++i) {
+        names.push_back("new-" + std::to_string(i));
+        world.sendTo(1 + i % (HOSTS - 1), names.back(), "");
+    }
+    world.run(400ms);
+    std::erase_if(names, [&](const std::string &name) { return writerOf(world, name) != "v2"; });
+    cr_assert(!names.empty());
+    std::vector<std::pair<int, RequestId>> takeUps;
+    for (const std::string &name : names)
+        takeUps.push_back(world.sendTo(0, name + "-again", name));
+    world.run(100ms);
+    behind = false;
+    world.run(3s);
+    for (const auto &takeUp : takeUps)
+        cr_expect(world.answered(takeUp));
+    cr_expect_eq(world.mixed(), 0);
+}
+
 // Guards against a take-up of a stream that nothing is known of, and of one of another account: any
 // target might continue it.
 Test(stream_version, unknown_stream_is_refused_at_once)
