--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -447,6 +447,9 @@
     reply.match = snapshot.index;
     if (snapshot.index > replica.commit) {
         const bool keepsSuffix = termAt(replica, snapshot.index) == snapshot.term;
+        // Entries that come at the indexes of a cleared log are not synced yet.
+        replica.durableIndex
+            = keepsSuffix ? std::max(replica.durableIndex, snapshot.index) : snapshot.index;
         if (keepsSuffix)
             replica.log.erase(
                 replica.log.begin(),
@@ -456,7 +459,6 @@
             replica.log.clear();
         replica.latestSnapshot = snapshot;
         replica.commit = replica.applied = snapshot.index;
-        replica.durableIndex = std::max(replica.durableIndex, snapshot.index);
         refreshMembership(replica);
         effects.snapshot = effects.restored = snapshot;
         effects.hardState = replica.hardState;
--- a/src/tests/replica_test.cpp
+++ b/src/tests/replica_test.cpp
@@ -438,3 +438,37 @@
     cr_assert_lt(gaps[gaps.size() * 99 / 100].count(), Duration(1s).count(),
                  "p99 of the time without a leader exceeds the goal of one second");
 }
+
+// Guards against entries that count as synced before they are: a snapshot replaces a conflicting
+// log, and new entries come at the indexes of the old ones while the disk is full.
+Test(replica, entries_after_a_snapshot_that_clears_the_log_are_not_durable_before_a_sync)
+{
+    const TimePoint now(1s);
+    const MemberId leader("m2");
+    DurableState durable;
+    durable.hardState.term = 1;
+    for (LogIndex i = 1; i <= 20; ++i)
+        durable.log.push_back({i, 1, EntryKind::Command, "old"});
+    LogReplica replica = makeReplica(MemberId("m1"), durable, 1, now);
+    cr_assert_eq(replica.durableIndex, 20);
+
+    SnapshotRequest request;
+    request.term = 2;
+    request.snapshot.index = 10;
+    request.snapshot.term = 2;
+    request.snapshot.membership.voters = {MemberId("m1"), leader, MemberId("m3")};
+    (void)receive(replica, leader, request, now);
+    cr_expect_eq(replica.durableIndex, 10);
+
+    AppendRequest append;
+    append.term = 2;
+    append.previousIndex = 10;
+    append.previousTerm = 2;
+    for (LogIndex i = 11; i <= 15; ++i)
+        append.entries.push_back({i, 2, EntryKind::Command, "new"});
+    const ReplicaEffects effects = receive(replica, leader, append, now);
+    cr_assert_eq(effects.append.size(), 5);
+    cr_expect_eq(replica.durableIndex, 10);
+    (void)synced(replica, 15, 2, now);
+    cr_expect_eq(replica.durableIndex, 15);
+}
