--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -1,6 +1,8 @@
 /** @file control_runner.cpp Decision thread and journal thread of a control member. */
 #include "daemon/control_runner_base.h"
 
+#include "control/journal_backlog_func.h"
+
 #include "core/log_func.h"
 
 #include <absl/synchronization/notification.h>
@@ -28,6 +30,15 @@
     return std::nullopt;
 }
 
+std::vector<JournalBatch> toBatches(const std::vector<JournalWrite> &writes)
+{
+    std::vector<JournalBatch> batches;
+    batches.reserve(writes.size());
+    for (const JournalWrite &write : writes)
+        batches.push_back({write.hardState, write.append, write.snapshot});
+    return batches;
+}
+
 } // namespace
 
 ControlRunner::ControlRunner(const Settings &settings, OrderChannel orders)
@@ -245,16 +256,16 @@
         std::vector<JournalWrite> pending = this->writes.popAll(1s);
         if (pending.empty())
             continue;
-        std::vector<JournalBatch> batches;
-        batches.reserve(pending.size());
-        for (JournalWrite &write : pending)
-            batches.push_back({write.hardState, write.append, write.snapshot});
         // A batch is acknowledged only after it is durable; a failed write is repeated until it
-        // succeeds or the thread is stopped.
-        while (!this->journal->write(batches) && !this->writes.isClosed()) {
+        // succeeds or the thread is stopped. Meanwhile the queue is emptied, since the decision
+        // thread waits for room in it.
+        while (!this->journal->write(toBatches(pending)) && !this->writes.isClosed()) {
             if (this->journalWritable.exchange(false))
                 logEvent("journalUnwritable", {{"folder", this->settings.dataFolder}});
             absl::SleepFor(absl::Microseconds(JOURNAL_RETRY_DELAY.count()));
+            for (JournalWrite &write : this->writes.popAll(Duration::zero()))
+                pending.push_back(std::move(write));
+            compactBacklog(pending);
         }
         if (this->writes.isClosed())
             return;
