--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -219,7 +219,8 @@
     return replaceFile(folder, "identity", encodeWithChecksum(encode(member)));
 }
 
-Result<std::unique_ptr<Journal>> Journal::open(const std::string &folder, Content &content)
+Result<std::unique_ptr<Journal>> Journal::open(const std::string &folder, Content &content,
+                                               TruncateFile truncate)
 {
     BOOST_OUTCOME_TRY(identity, readFile(filePath(folder, "identity")));
     if (identity.size() < sizeof(std::uint32_t)
@@ -246,24 +247,36 @@
     const int file = ::open(filePath(folder, "journal").c_str(), O_WRONLY | O_CLOEXEC);
     if (file < 0)
         return Errc::FileUnreadable;
-    const bool truncated = ::ftruncate(file, static_cast<off_t>(offset)) == 0 && ::fsync(file) == 0;
     // Skips one batch number, so that no later batch has the number of the batch whose torn tail
-    // was cut off.
+    // is cut off.
     std::unique_ptr<Journal> journal(new Journal(folder, file, batch + 1, offset));
-    if (!truncated)
-        return Errc::FileUnwritable;
+    journal->truncate = truncate;
+    journal->hasTail = content.tornBytes > 0;
+    // On a full disk the tail stays until there is room for the next batch.
+    (void)journal->cutTail();
     return journal;
 }
 
+bool Journal::cutTail()
+{
+    if (!this->hasTail)
+        return true;
+    this->hasTail = this->truncate(this->file, static_cast<off_t>(this->size)) != 0
+        || ::fsync(this->file) != 0;
+    return !this->hasTail;
+}
+
 Result<void> Journal::append(const std::string &bytes)
 {
     const auto end = static_cast<off_t>(this->size);
-    // Removes the bytes that a failed earlier write may have left after the last synced batch.
-    const bool written = ::ftruncate(this->file, end) == 0
-        && ::lseek(this->file, end, SEEK_SET) == end && writeAll(this->file, bytes)
+    if (!this->cutTail())
+        return Errc::FileUnwritable;
+    const bool written = ::lseek(this->file, end, SEEK_SET) == end && writeAll(this->file, bytes)
         && ::fdatasync(this->file) == 0;
-    if (!written)
+    if (!written) {
+        this->hasTail = true;
         return Errc::FileUnwritable;
+    }
     this->size += bytes.size();
     return boost::outcome_v2::success();
 }
@@ -282,6 +295,7 @@
     ::close(this->file);
     this->file = next;
     this->size = bytes.size();
+    this->hasTail = false;
     return boost::outcome_v2::success();
 }
 
--- a/src/journal/journal_base.h
+++ b/src/journal/journal_base.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <string>
+#include <unistd.h>
 
 namespace bilberry {
 
@@ -21,6 +22,9 @@
     std::optional<Snapshot> snapshot; ///< New snapshot; empty: unchanged.
 };
 
+/** Function with the arguments and the result of ftruncate(). */
+using TruncateFile = int (*)(int file, off_t size);
+
 /** Open journal of one data folder; not thread-safe. */
 class Journal
 {
@@ -48,14 +52,16 @@
 
     /**
      * Opens a data folder, replays its journal and truncates a torn tail: incomplete or damaged
-     * records after which no later batch follows.
+     * records after which no later batch follows. If the disk is full, the tail is cut off before
+     * the next batch is written.
      * @param folder Path of the folder.
      * @param[out] content Identity and state that were read.
+     * @param truncate Shortens the journal file; tests replace it.
      * @return The journal, or Errc::JournalCorrupt if the identity, the snapshot or a synced record
-     * is damaged, Errc::Malformed if one of them cannot be decoded, Errc::FileUnreadable,
-     * Errc::FileUnwritable.
+     * is damaged, Errc::Malformed if one of them cannot be decoded, Errc::FileUnreadable.
      */
-    static Result<std::unique_ptr<Journal>> open(const std::string &folder, Content &content);
+    static Result<std::unique_ptr<Journal>> open(const std::string &folder, Content &content,
+                                                 TruncateFile truncate = ::ftruncate);
 
     ~Journal();
     Journal(const Journal &) = delete;
@@ -80,7 +86,12 @@
      */
     Result<void> resetToSnapshot(const JournalBatch &batch);
 
+    /** Cuts off what follows the synced part. @return False if the disk refuses it. */
+    bool cutTail();
+
     std::string folder;
+    TruncateFile truncate = ::ftruncate;
+    bool hasTail = false; ///< Whether unsynced bytes may follow the synced part of the file.
     int file; ///< File descriptor of the journal file.
     std::uint64_t batch; ///< Number of the last batch written.
     std::uint64_t size; ///< Length of the synced part of the journal file in bytes.
--- a/src/tests/journal_backlog_test.cpp
+++ b/src/tests/journal_test.cpp
@@ -1,8 +1,10 @@
-/** @file journal_backlog_test.cpp What waits for a full disk, and what is durable afterwards. */
+/** @file journal_test.cpp What waits for a full disk, and what is durable afterwards. */
 #include "control/journal_backlog_func.h"
 #include "journal/journal_base.h"
 
+#include <cerrno>
 #include <filesystem>
+#include <fstream>
 #include <random>
 #include <unistd.h>
 
@@ -71,6 +73,12 @@
     std::vector<LogEntry> log;
 };
 
+int refuseTruncation(int, off_t)
+{
+    errno = ENOSPC;
+    return -1;
+}
+
 /** @return State that a journal has after the writes. */
 nlohmann::json stateAfter(const std::vector<JournalWrite> &writes)
 {
@@ -97,7 +105,7 @@
 
 // Guards against a member whose threads wait for each other for good after its disk was full for
 // long, or whose memory runs out meanwhile: all writes and all snapshots of that time were queued.
-Test(journal_backlog, long_outage_leaves_one_write)
+Test(journal, long_outage_leaves_one_write)
 {
     Decisions decisions(1);
     std::vector<JournalWrite> waiting;
@@ -113,7 +121,7 @@
 }
 
 // Guards against a compaction that loses or brings back an entry, a term or a snapshot.
-Test(journal_backlog, compacted_writes_lead_to_the_same_durable_state, .timeout = 60)
+Test(journal, compacted_writes_lead_to_the_same_durable_state, .timeout = 60)
 {
     for (unsigned seed = 1; seed <= 30; ++seed) {
         Decisions decisions(seed);
@@ -129,3 +137,32 @@
         cr_expect_eq(stateAfter(all), stateAfter(waiting), "seed %u", seed);
     }
 }
+
+// Guards against a control member that ends again and again at its start: it was killed in the
+// middle of a write, and its disk is still full.
+Test(journal, member_starts_while_its_disk_is_full)
+{
+    const auto folder
+        = std::filesystem::temp_directory_path() / ("journal-full-" + std::to_string(getpid()));
+    std::filesystem::remove_all(folder);
+    cr_assert(Journal::create(folder, MemberId("m1"), {}));
+    Journal::Content content;
+    const JournalBatch first{HardState{3, std::nullopt}, {{1, 3, EntryKind::Command, "a"}}, {}};
+    cr_assert(std::move(Journal::open(folder, content)).value()->write({first}));
+    std::ofstream(folder / "journal", std::ios::app) << "torn";
+
+    Journal::Content full;
+    auto waiting = Journal::open(folder, full, refuseTruncation);
+    cr_assert(waiting, "the member does not start");
+    cr_expect_eq(full.tornBytes, 4);
+    cr_expect_eq(full.state.log.size(), 1);
+    const JournalBatch second{std::nullopt, {{2, 3, EntryKind::Command, "b"}}, {}};
+    cr_expect(!waiting.value()->write({second}), "written behind a torn tail");
+
+    Journal::Content room;
+    cr_assert(std::move(Journal::open(folder, room)).value()->write({second}));
+    cr_assert(Journal::open(folder, content));
+    cr_expect_eq(content.tornBytes, 0);
+    cr_expect_eq(content.state.log.size(), 2);
+    std::filesystem::remove_all(folder);
+}
