--- a/src/tests/stream_version_test.cpp
+++ b/src/tests/stream_version_test.cpp
@@ -287,6 +287,25 @@
     cr_expect_eq(world.mixed(), 0);
 }
 
+// Guards against a stream that is recorded for the version that its target had before it restarted
+// under its id: the hosts learn of the restart up to a heartbeat later.
+Test(stream_version, stream_of_a_target_that_restarts_under_its_id_is_not_mixed, .timeout = 60)
+{
+    StreamWorld world(1);
+    for (int i = 0; i < 4; ++i)
+        world.addTarget(i, "v1");
+    world.run(WARM_UP);
+    world.addTarget(0, "v2", 2);
+    const auto names = world.beginStreams(20);
+    world.run(WARM_UP);
+    for (const std::string &name : names) {
+        world.send(name + "-again", name);
+        world.run(10ms);
+    }
+    world.run(2s);
+    cr_expect_eq(world.mixed(), 0, "%d of %zu mixed", world.mixed(), names.size());
+}
+
 // Guards against a take-up of a stream that nothing is known of, and of one of another account: any
 // target might continue it.
 Test(stream_version, unknown_stream_is_refused_at_once)
