--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -30,6 +30,17 @@
 std::int64_t reportAndGrant(LeasedPool &pool, const HolderId &holder, const PoolUse &use,
                             bool sameTerm, TimePoint expires, TimePoint now);
 
+/** @return Most slots that @p holder should hold; -1: no limit, as there are free slots. */
+int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now);
+
+/** Logs who has the slots of a target at which a host gets none that it wants. */
+void logShortage(TargetSlots &slots, const HostReport &report, const SlotGrant &grant,
+                 ControlEffects &effects, TimePoint now);
+
+/** Ends the claims of a host at targets that its report does not name: nothing runs or waits there
+ * any more. */
+void endUnnamedClaims(Leadership &leadership, const HostReport &report);
+
 /** Records the slot use in a report and adds slot grants to @p grant. */
 void grantSlots(Control &control, const HostReport &report, HostGrant &grant,
                 ControlEffects &effects, TimePoint now);
