Change: [Control] A new claim takes one free slot instead of a new division; at most ten lines slotsShort a second

A host without a share now gets one free slot until the next division. slotsShort is bounded for all targets together, so that it leaves room for other lines.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -56,7 +56,6 @@
     std::map<HolderId, int>
         shares; ///< Slots of each host while demand exceeds the limit; else empty.
     TimePoint sharesComputedAt; ///< Time of the last computation of the shares.
-    TimePoint shortageLoggedAt; ///< Time of the last log line on a lack of slots.
 };
 
 /** Latest report of a host on the requests that wait there for a target's request rate. */
@@ -173,6 +172,7 @@
     std::set<std::string>
         publishedLoads; ///< Loads in progress that the registry announces, by replicaId().
     std::vector<VariantAssumption> assumptions;
+    TimePoint shortageLoggedAt; ///< Time of the last log line on a lack of slots.
     std::optional<ChangeMember>
         memberChange; ///< Operator's change in progress: its learner is catching up.
 };
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -34,8 +34,8 @@
 int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now);
 
 /** Logs who has the slots of a target at which a host gets none that it wants. */
-void logShortage(TargetSlots &slots, const HostReport &report, const SlotGrant &grant,
-                 ControlEffects &effects, TimePoint now);
+void logShortage(Leadership &leadership, const TargetSlots &slots, const HostReport &report,
+                 const SlotGrant &grant, ControlEffects &effects, TimePoint now);
 
 /** Ends the claims of a host at targets that its report does not name: nothing runs or waits there
  * any more. */
--- a/src/control/slot_claims.cpp
+++ b/src/control/slot_claims.cpp
@@ -15,7 +15,7 @@
 constexpr Duration SHARE_ROTATION_INTERVAL
     = 100ms; ///< Time after which leftover slots go to the next hosts.
 constexpr Duration SHORTAGE_LOG_INTERVAL
-    = 100ms; ///< Time between two lines on the same target's lack of slots.
+    = 100ms; ///< Time between two lines on a target's lack of slots.
 
 /** Demand for a target's slots, by account and by host. */
 struct SlotClaims
@@ -116,10 +116,7 @@
 int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now)
 {
     const std::vector<AccountDemand> &own = slots.demands[holder].demand;
-    // A new claim does not wait for the next computation: the host's next report may come long
-    // after.
-    const bool isNew = !own.empty() && !slots.shares.empty() && !slots.shares.contains(holder);
-    if (isNew || now >= slots.sharesComputedAt + SHARE_UPDATE_INTERVAL) {
+    if (now >= slots.sharesComputedAt + SHARE_UPDATE_INTERVAL) {
         slots.sharesComputedAt = now;
         const SlotClaims claims = collectClaims(control, slots, now);
         slots.shares.clear();
@@ -129,8 +126,10 @@
     const auto share = slots.shares.find(holder);
     if (share != slots.shares.end())
         return share->second;
+    // A new claim gets a free slot before the next division: the host's next report may come long
+    // after.
     if (!slots.shares.empty())
-        return 0;
+        return !own.empty() && slots.pool.level >= 1 ? 1 : 0;
     if (slots.pool.level >= 1)
         return -1;
     // No slot is free: each host keeps only as many slots as its demand and returns idle ones.
@@ -140,12 +139,12 @@
     return ownDemand;
 }
 
-void logShortage(TargetSlots &slots, const HostReport &report, const SlotGrant &grant,
-                 ControlEffects &effects, TimePoint now)
+void logShortage(Leadership &leadership, const TargetSlots &slots, const HostReport &report,
+                 const SlotGrant &grant, ControlEffects &effects, TimePoint now)
 {
-    if (now < slots.shortageLoggedAt + SHORTAGE_LOG_INTERVAL)
+    if (now < leadership.shortageLoggedAt + SHORTAGE_LOG_INTERVAL)
         return;
-    slots.shortageLoggedAt = now;
+    leadership.shortageLoggedAt = now;
     int holders = 0;
     TimePoint oldestReport = now;
     for (const auto &[holder, holding] : slots.pool.holdings) {
--- a/src/control/slot_grant.cpp
+++ b/src/control/slot_grant.cpp
@@ -138,7 +138,7 @@
             = holding == slots.pool.holdings.end() ? 0 : holding->second.granted;
         out.slots = reportAndGrant(slots.pool, report.holder, wanted, sameTerm, expires, now);
         if (use.slots.want > 0 && out.slots <= before)
-            logShortage(slots, report, out, effects, now);
+            logShortage(leadership, slots, report, out, effects, now);
         grant.slots.push_back(out);
     }
 }
