--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -106,6 +106,25 @@
     }
 }
 
+/** @return Memory and transfer size of an entry, for the bounds in bytes. */
+std::size_t sizeOf(const LogEntry &entry)
+{
+    constexpr std::size_t OVERHEAD = 64;
+    return entry.payload.size() + OVERHEAD;
+}
+
+/** @return Size of the applied entries after the snapshot. */
+std::size_t appliedLogBytes(const LogReplica &replica)
+{
+    std::size_t bytes = 0;
+    for (const LogEntry &entry : replica.log) {
+        if (entry.index > replica.applied)
+            break;
+        bytes += sizeOf(entry);
+    }
+    return bytes;
+}
+
 /** Sends the next entries, or the snapshot if the entries before them are compacted away. */
 void sendAppend(LogReplica &replica, const MemberId &member, TimePoint now, ReplicaEffects &effects)
 {
@@ -148,14 +167,30 @@
     replica.log.push_back(std::move(entry));
 }
 
+/** Adds the next batch of committed entries to the effects. */
 void collectCommitted(LogReplica &replica, ReplicaEffects &effects)
 {
-    while (replica.applied < replica.commit) {
+    std::size_t bytes = 0;
+    while (replica.applied < replica.commit && effects.committed.size() < MAX_ENTRIES_PER_BATCH) {
+        const LogEntry &entry = entryAt(replica, replica.applied + 1);
+        if (bytes > 0 && bytes + sizeOf(entry) > MAX_BYTES_PER_BATCH)
+            return;
+        bytes += sizeOf(entry);
         ++replica.applied;
-        effects.committed.push_back(entryAt(replica, replica.applied));
+        effects.committed.push_back(entry);
     }
 }
 
+/** Raises the commit index. While earlier entries wait to be applied, the new ones do too, so that
+ * messages take no longer. */
+void raiseCommit(LogReplica &replica, LogIndex commit, ReplicaEffects &effects)
+{
+    const bool backlog = replica.applied < replica.commit;
+    replica.commit = std::max(replica.commit, commit);
+    if (!backlog)
+        collectCommitted(replica, effects);
+}
+
 void appendMembership(LogReplica &replica, const Membership &next, TimePoint now,
                       ReplicaEffects &effects)
 {
@@ -204,8 +239,7 @@
         });
         if (!stored)
             continue;
-        replica.commit = index;
-        collectCommitted(replica, effects);
+        raiseCommit(replica, index, effects);
         finishMembershipChange(replica, now, effects);
         if (replica.role == ReplicaRole::Leader && effects.append.empty())
             broadcastAppend(replica, now, effects);
@@ -401,8 +435,7 @@
     const LogIndex known = request.previousIndex + request.entries.size();
     reply.success = true;
     reply.match = std::max(known, replica.latestSnapshot.index);
-    replica.commit = std::max(replica.commit, std::min(request.commit, reply.match));
-    collectCommitted(replica, effects);
+    raiseCommit(replica, std::min(request.commit, reply.match), effects);
     effects.sendAfterSync.push_back({from, reply});
 }
 
@@ -492,6 +525,15 @@
     return replica.latestSnapshot.index + replica.log.size();
 }
 
+bool isCompactionDue(const LogReplica &replica)
+{
+    if (replica.applied > replica.latestSnapshot.index + COMPACT_AFTER_ENTRIES)
+        return true;
+    const std::size_t limit = std::max(
+        MIN_COMPACT_BYTES, COMPACT_AFTER_SNAPSHOT_SIZES * replica.latestSnapshot.state.size());
+    return appliedLogBytes(replica) > limit;
+}
+
 LogReplica makeReplica(const MemberId &self, DurableState durable, std::uint64_t seed,
                        TimePoint now)
 {
@@ -535,6 +577,18 @@
     return effects;
 }
 
+bool hasCommittedBacklog(const LogReplica &replica)
+{
+    return replica.applied < replica.commit;
+}
+
+ReplicaEffects applyCommitted(LogReplica &replica)
+{
+    ReplicaEffects effects;
+    collectCommitted(replica, effects);
+    return effects;
+}
+
 ReplicaEffects tick(LogReplica &replica, TimePoint now)
 {
     ReplicaEffects effects;
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -20,6 +20,15 @@
 constexpr Duration HEARTBEAT_INTERVAL = 60ms;
 constexpr Duration SNAPSHOT_RESEND_INTERVAL = 2s; ///< Time until an unanswered snapshot is resent.
 constexpr std::size_t MAX_ENTRIES_PER_APPEND = 256;
+constexpr std::size_t COMPACT_AFTER_ENTRIES
+    = 1'000; ///< Applied log entries after which a new snapshot is due.
+/** Size of the applied log in multiples of the snapshot after which a new one is due, so that a
+ * restart reads and applies little more than the state. */
+constexpr std::size_t COMPACT_AFTER_SNAPSHOT_SIZES = 2;
+constexpr std::size_t MIN_COMPACT_BYTES = 1 << 20; ///< A smaller log is not compacted by size.
+constexpr std::size_t MAX_ENTRIES_PER_BATCH = 16; ///< Bound of ReplicaEffects::committed.
+/** Bound of the bytes in ReplicaEffects::committed; a larger entry is returned alone. */
+constexpr std::size_t MAX_BYTES_PER_BATCH = 256 << 10;
 
 /** State of one member. Only the functions of replica_func.h change it. */
 struct LogReplica
--- a/src/consensus/replica_func.h
+++ b/src/consensus/replica_func.h
@@ -35,6 +35,15 @@
  */
 ReplicaEffects tick(LogReplica &replica, TimePoint now);
 
+/** @return Whether committed entries wait to be applied; applyCommitted() returns the next ones. */
+bool hasCommittedBacklog(const LogReplica &replica);
+
+/**
+ * Returns the next batch of committed entries. All effects have at most one batch, so that a member
+ * that has a long log to apply handles messages in between.
+ */
+ReplicaEffects applyCommitted(LogReplica &replica);
+
 /** Reports that this member's disk has synced the log up to the entry at @p index with @p term. */
 ReplicaEffects synced(LogReplica &replica, LogIndex index, Term term, TimePoint now);
 
@@ -81,6 +90,9 @@
 /** @return Index of the last entry, synced or not. */
 LogIndex lastIndex(const LogReplica &replica);
 
+/** @return Whether compact() is due, by the number or the size of the applied entries. */
+bool isCompactionDue(const LogReplica &replica);
+
 /**
  * @return Whether @p predicate holds for a majority of the voters and, if the membership is joint,
  *         also for a majority of the outgoing voters.
--- a/src/consensus/replica_type.h
+++ b/src/consensus/replica_type.h
@@ -166,7 +166,8 @@
         restored; ///< Snapshot from the leader, to be loaded into the state machine.
     std::vector<OutgoingMessage>
         sendAfterSync; ///< Messages to send once the records above are synced.
-    std::vector<LogEntry> committed; ///< Entries to apply to the state machine, in order.
+    std::vector<LogEntry>
+        committed; ///< Next entries to apply to the state machine, in order; bounded in number.
     bool roleChanged = false;
 };
 
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr std::size_t COMPACT_AFTER_ENTRIES
-    = 1'000; ///< Applied log entries after which a new snapshot is taken.
 constexpr Duration EXPIRE_INTERVAL = 10s; ///< Time between two RemoveExpired commands.
 constexpr Duration ADAPTER_LOAD_TIME
     = 40ms; ///< Assumed time from the acceptance of a load order until the adapter is loaded.
@@ -274,7 +272,7 @@
     applyReplicaEffects(control, tick(control.replica, now), effects, now);
     if (control.leadership && isActiveLeader(control.replica, now))
         onLeaderTick(control, effects, now);
-    if (control.replica.applied > control.replica.latestSnapshot.index + COMPACT_AFTER_ENTRIES)
+    if (isCompactionDue(control.replica))
         applyReplicaEffects(
             control, compact(control.replica, control.replica.applied, encode(control.cluster)),
             effects, now);
@@ -445,6 +443,8 @@
         onInspection(control, *inspection, now);
     else if (std::holds_alternative<ControlTickEvent>(event))
         onTick(control, effects, now);
+    else if (std::holds_alternative<ApplyCommittedEvent>(event))
+        applyReplicaEffects(control, applyCommitted(control.replica), effects, now);
     else
         applyReplicaEffects(control, transferLeadership(control.replica), effects, now);
     return effects;
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -51,6 +51,11 @@
 {
 };
 
+/** Applies the next committed entries; handled after another event while there is a backlog. */
+struct ApplyCommittedEvent
+{
+};
+
 /** The daemon shuts down: a leader transfers its leadership to another voter. */
 struct ControlShutdownEvent
 {
@@ -58,7 +63,7 @@
 
 using ControlEvent
     = std::variant<ReplicaMessageEvent, HostMessageEvent, SyncedEvent, OrderReplyEvent,
-                   ControlTickEvent, ControlShutdownEvent, InspectionEvent>;
+                   ControlTickEvent, ControlShutdownEvent, InspectionEvent, ApplyCommittedEvent>;
 
 /** Records to write in this order and sync; @c afterSync is sent after the sync. */
 struct JournalWrite
--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -140,10 +140,8 @@
 {
     TimePoint tickDue = MonotonicClock::now();
     while (!this->tasks.isClosed()) {
-        const std::optional<ControlEvent> event = dequeueEvent(this->inbox);
-        if (event)
-            this->handle(*event);
-        this->receiveTasks(event ? Duration::zero() : TICK_INTERVAL);
+        const bool handled = this->handleNext();
+        this->receiveTasks(handled ? Duration::zero() : TICK_INTERVAL);
         const TimePoint now = MonotonicClock::now();
         if (now < tickDue)
             continue;
@@ -172,6 +170,21 @@
     this->lastLoggedDrops = this->inbox.dropped;
 }
 
+bool ControlRunner::handleNext()
+{
+    if (hasCommittedBacklog(this->control.replica)) {
+        // A member that applies a long log still answers its control group after each batch.
+        for (std::size_t left = this->inbox.priority.size(); left > 0; --left)
+            this->handle(*dequeueEvent(this->inbox));
+        this->handle(ApplyCommittedEvent{});
+        return true;
+    }
+    const std::optional<ControlEvent> event = dequeueEvent(this->inbox);
+    if (event)
+        this->handle(*event);
+    return event.has_value();
+}
+
 void ControlRunner::handle(const ControlEvent &event)
 {
     const TimePoint began = MonotonicClock::now();
--- a/src/daemon/control_runner_base.h
+++ b/src/daemon/control_runner_base.h
@@ -79,6 +79,9 @@
     void runJournal();
     /** Moves queued events to the inbox and runs queued state queries. */
     void receiveTasks(Duration timeout);
+    /** Handles the next event, or one batch of committed entries after all queued events of the
+     * control group. @return False if there was nothing to do. */
+    bool handleNext();
     void handle(const ControlEvent &event);
     void execute(ControlEffects effects);
     void sendToMember(const OutgoingMessage &message);
--- a/src/daemon/decision_load.cpp
+++ b/src/daemon/decision_load.cpp
@@ -20,6 +20,7 @@
     std::string operator()(const OrderReplyEvent &) const { return "orderReply"; }
     std::string operator()(const InspectionEvent &) const { return "inspection"; }
     std::string operator()(const ControlTickEvent &) const { return "tick"; }
+    std::string operator()(const ApplyCommittedEvent &) const { return "apply"; }
     std::string operator()(const ControlShutdownEvent &) const { return "shutdown"; }
 };
 
--- a/src/replay/decision_simulation.cpp
+++ b/src/replay/decision_simulation.cpp
@@ -310,6 +310,8 @@
     if (this->onControlStep)
         this->onControlStep(false);
     this->applyEffects(effects);
+    if (hasCommittedBacklog(this->control.replica))
+        this->stepControl(ApplyCommittedEvent{});
 }
 
 void DecisionSimulation::applyEffects(const ControlEffects &effects)
--- a/src/tests/control_group.h
+++ b/src/tests/control_group.h
@@ -96,6 +96,8 @@
         if (!daemon.up)
             return;
         this->handleEffects(daemon, step(*daemon.control, event, this->now));
+        while (daemon.up && hasCommittedBacklog(daemon.control->replica))
+            this->handleEffects(daemon, step(*daemon.control, ApplyCommittedEvent{}, this->now));
     }
 
     /** Carries out the effects of a daemon's member. */
--- a/src/tests/replica_test.cpp
+++ b/src/tests/replica_test.cpp
@@ -234,6 +234,8 @@
             this->finishWrites(member);
             if (member.replica)
                 this->handleEffects(member, tick(*member.replica, this->clockOf(member)));
+            while (member.replica && hasCommittedBacklog(*member.replica))
+                this->handleEffects(member, applyCommitted(*member.replica));
         }
         Member *leader = this->activeLeader();
         if (leader != nullptr) {
