Fix: [Consensus] Flow control of what the leader sends to each member

Cause: each proposal and heartbeat sent entries ahead without a bound, and each rejection sent all entries from the hint on again. After a cut, every rejected request that was under way caused one more copy of megabytes; the copies delayed answers and heartbeats, which were rejected in turn.

In replicate, at most 512 KiB are unconfirmed and 256 KiB are in one request. A rejection starts a probe: requests without entries, until one matches; rejections of what was sent before are outdated. A rejected term is skipped at once. A commit is no longer announced at once to all members: they learn it with the next entry or heartbeat, and serve nothing by it.

Evidence, simulated time: replica_cost/members_that_lag_by_megabytes_catch_up_while_commits_go_on (two of five miss 4.5 MB each).

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -1,6 +1,8 @@
 /** @file replica.cpp Raft replication of the log. */
 #include "consensus/replica_func.h"
 
+#include "consensus/progress_func.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -113,6 +115,35 @@
     return entry.payload.size() + OVERHEAD;
 }
 
+AppendRequest makeAppend(const LogReplica &replica, LogIndex previousIndex, Term previousTerm,
+                         TimePoint now)
+{
+    AppendRequest request;
+    request.term = replica.hardState.term;
+    request.previousIndex = previousIndex;
+    request.previousTerm = previousTerm;
+    request.commit = replica.commit;
+    request.sentAt = now;
+    return request;
+}
+
+/** Adds the next entries for the member, as far as the bounds of a request allow. */
+void addEntries(const LogReplica &replica, ReplicationProgress &progress, AppendRequest &request)
+{
+    std::size_t bytes = 0;
+    LogIndex next = progress.next;
+    while (request.entries.size() < MAX_ENTRIES_PER_APPEND && next <= lastIndex(replica)) {
+        const std::size_t size = sizeOf(entryAt(replica, next));
+        if (bytes > 0 && bytes + size > MAX_BYTES_PER_APPEND)
+            break;
+        request.entries.push_back(entryAt(replica, next));
+        bytes += size;
+        ++next;
+    }
+    if (bytes > 0)
+        recordEntriesSent(progress, next - 1, bytes);
+}
+
 /** @return Size of the applied entries after the snapshot. */
 std::size_t appliedLogBytes(const LogReplica &replica)
 {
@@ -125,33 +156,44 @@
     return bytes;
 }
 
-/** Sends the next entries, or the snapshot if the entries before them are compacted away. */
+void sendSnapshot(LogReplica &replica, const MemberId &member, TimePoint now,
+                  ReplicaEffects &effects)
+{
+    startSnapshot(replica.progress.at(member), now);
+    effects.sendNow.push_back(
+        {member, SnapshotRequest{replica.hardState.term, replica.latestSnapshot, now}});
+}
+
+/** Sends entries as far as flow control allows, else a heartbeat. */
 void sendAppend(LogReplica &replica, const MemberId &member, TimePoint now, ReplicaEffects &effects)
 {
     ReplicationProgress &progress = replica.progress.at(member);
-    const std::optional<Term> previousTerm = termAt(replica, progress.next - 1);
-    if (!previousTerm) {
-        if (progress.snapshotSent != TimePoint{}
-            && now - progress.snapshotSent < SNAPSHOT_RESEND_INTERVAL)
-            return;
-        progress.snapshotSent = now;
-        effects.sendNow.push_back(
-            {member, SnapshotRequest{replica.hardState.term, replica.latestSnapshot, now}});
+    if (progress.state == ProgressState::Snapshot) {
+        if (isSnapshotLost(progress, now))
+            sendSnapshot(replica, member, now, effects);
+        // Every log matches at index 0, so that the heartbeat is not rejected.
+        effects.sendNow.push_back({member, makeAppend(replica, 0, 0, now)});
         return;
     }
-    AppendRequest request;
-    request.term = replica.hardState.term;
-    request.previousIndex = progress.next - 1;
-    request.previousTerm = *previousTerm;
-    request.commit = replica.commit;
-    request.sentAt = now;
-    while (request.entries.size() < MAX_ENTRIES_PER_APPEND && progress.next <= lastIndex(replica)) {
-        request.entries.push_back(entryAt(replica, progress.next));
-        ++progress.next;
-    }
+    // What the member has is not known to be compacted away before it has rejected a request.
+    if (!termAt(replica, progress.next - 1))
+        startProbe(progress, lastIndex(replica) + 1, now);
+    const LogIndex previous = progress.next - 1;
+    AppendRequest request = makeAppend(replica, previous, *termAt(replica, previous), now);
+    if (maySendEntries(progress))
+        addEntries(replica, progress, request);
     effects.sendNow.push_back({member, std::move(request)});
 }
 
+/** Sends the entries that the member lacks, as far as flow control allows. */
+void sendEntries(LogReplica &replica, const MemberId &member, TimePoint now,
+                 ReplicaEffects &effects)
+{
+    const ReplicationProgress &progress = replica.progress.at(member);
+    if (maySendEntries(progress) && progress.next <= lastIndex(replica))
+        sendAppend(replica, member, now, effects);
+}
+
 void broadcastAppend(LogReplica &replica, TimePoint now, ReplicaEffects &effects)
 {
     replica.heartbeatDue = now + HEARTBEAT_INTERVAL;
@@ -241,8 +283,6 @@
             continue;
         raiseCommit(replica, index, effects);
         finishMembershipChange(replica, now, effects);
-        if (replica.role == ReplicaRole::Leader && effects.append.empty())
-            broadcastAppend(replica, now, effects);
         return;
     }
 }
@@ -415,6 +455,19 @@
         refreshMembership(replica);
 }
 
+/** @return Last index at which the log may match that of a leader whose entry at @p rejected is
+ * another one than here, or is missing here. Skips all entries of a term at once. */
+LogIndex lastPossibleMatch(const LogReplica &replica, LogIndex rejected)
+{
+    if (rejected > lastIndex(replica))
+        return lastIndex(replica);
+    const std::optional<Term> conflicting = termAt(replica, rejected);
+    LogIndex index = rejected - 1;
+    while (index > replica.latestSnapshot.index && termAt(replica, index) == conflicting)
+        --index;
+    return index;
+}
+
 void onAppendRequest(LogReplica &replica, const MemberId &from, const AppendRequest &request,
                      TimePoint now, ReplicaEffects &effects)
 {
@@ -426,8 +479,7 @@
     reply.term = replica.hardState.term;
     const bool beforeSnapshot = request.previousIndex < replica.latestSnapshot.index;
     if (!beforeSnapshot && termAt(replica, request.previousIndex) != request.previousTerm) {
-        reply.match = std::min(lastIndex(replica), request.previousIndex - 1);
-        reply.match = std::max(reply.match, replica.commit);
+        reply.match = std::max(lastPossibleMatch(replica, request.previousIndex), replica.commit);
         effects.sendAfterSync.push_back({from, reply});
         return;
     }
@@ -453,17 +505,19 @@
     ReplicationProgress &progress = it->second;
     progress.lastAcknowledgedSendTime = std::max(progress.lastAcknowledgedSendTime, reply.sentAt);
     if (!reply.success) {
-        progress.next
-            = std::max<LogIndex>(std::min(reply.match + 1, progress.next), progress.match + 1);
-        sendAppend(replica, from, now, effects);
+        if (!recordRejection(progress, reply, now))
+            return;
+        if (termAt(replica, progress.next - 1))
+            sendAppend(replica, from, now, effects);
+        else
+            sendSnapshot(replica, from, now, effects);
         return;
     }
-    progress.match = std::max(progress.match, reply.match);
-    progress.next = std::max(progress.next, progress.match + 1);
-    progress.snapshotSent = {};
+    recordSuccess(progress, reply, replica.latestSnapshot.index);
     advanceCommit(replica, now, effects);
-    if (progress.next <= lastIndex(replica))
-        sendAppend(replica, from, now, effects);
+    // The commit may have ended a membership change, and with it the sender's progress.
+    if (replica.role == ReplicaRole::Leader && replica.progress.contains(from))
+        sendEntries(replica, from, now, effects);
 }
 
 void onSnapshotRequest(LogReplica &replica, const MemberId &from, const SnapshotRequest &request,
@@ -627,7 +681,7 @@
     appendAsLeader(replica, EntryKind::Command, std::move(payload), effects);
     index = lastIndex(replica);
     for (const auto &[member, progress] : replica.progress)
-        sendAppend(replica, member, now, effects);
+        sendEntries(replica, member, now, effects);
     return effects;
 }
 
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -2,9 +2,8 @@
  * external. */
 #pragma once
 
-#include "consensus/replica_type.h"
+#include "consensus/progress_base.h"
 
-#include <deque>
 #include <random>
 
 namespace bilberry {
@@ -18,8 +17,9 @@
                ///< ELECTION_TIMEOUT_MIN by the drift of two clocks, so that the lease ends before
                ///< the members vote for another leader.
 constexpr Duration HEARTBEAT_INTERVAL = 60ms;
-constexpr Duration SNAPSHOT_RESEND_INTERVAL = 2s; ///< Time until an unanswered snapshot is resent.
 constexpr std::size_t MAX_ENTRIES_PER_APPEND = 256;
+/** Bound of the entries in one request; a larger entry is sent alone. */
+constexpr std::size_t MAX_BYTES_PER_APPEND = 256 << 10;
 constexpr std::size_t COMPACT_AFTER_ENTRIES
     = 1'000; ///< Applied log entries after which a new snapshot is due.
 /** Size of the applied log in multiples of the snapshot after which a new one is due, so that a
--- a/src/consensus/replica_type.h
+++ b/src/consensus/replica_type.h
@@ -184,14 +184,4 @@
                               {ReplicaRole::Candidate, "candidate"},
                               {ReplicaRole::Leader, "leader"}})
 
-/** Replication progress of one other member, as the leader knows it. */
-struct ReplicationProgress
-{
-    LogIndex match = 0; ///< Last index known to be on the member's disk.
-    LogIndex next = 1; ///< Index of the next entry to send.
-    TimePoint
-        lastAcknowledgedSendTime; ///< Send time of the latest request that the member has answered.
-    TimePoint snapshotSent; ///< Send time of the last snapshot; zero if no snapshot awaits a reply.
-};
-
 } // namespace bilberry
--- a/src/tests/replica_cost_test.cpp
+++ b/src/tests/replica_cost_test.cpp
@@ -1,5 +1,5 @@
 /** @file replica_cost_test.cpp Simulation of the replicated log in which bytes and applied entries
- * take time: members that restart together. */
+ * take time: members that restart together, and members that lag behind by megabytes. */
 #include "consensus/replica_func.h"
 
 #include <cstdio>
@@ -306,8 +306,66 @@
     Duration longestWithoutCommit{}; ///< Since it was last reset.
 };
 
+/** What happens in the 6 s after two of five members were cut off while 4.5 MB were committed. */
+struct CatchUp
+{
+    std::size_t bytesSent = 0;
+    Duration longestWithoutCommit{};
+    int leadershipsEnded = 0;
+    bool caughtUp = false;
+};
+
+CatchUp catchUpAfterCut(Duration perMegabyte, std::uint64_t seed)
+{
+    CostedGroup group({perMegabyte, Duration::zero(), Duration::zero()});
+    group.startAll(seed);
+    group.untilActive();
+    group.runWithLoad(1s, 500ms);
+    const MemberId leader = group.leader()->id;
+    std::vector<CostedMember *> cut;
+    for (auto &[id, member] : group.members) {
+        if (id != leader && cut.size() < 2)
+            cut.push_back(&member);
+    }
+    for (CostedMember *member : cut)
+        member->isolated = true;
+    group.runWithLoad(8s, 533ms);
+    for (CostedMember *member : cut)
+        member->isolated = false;
+    group.bytesSent = 0;
+    group.leadershipsEnded = 0;
+    group.longestWithoutCommit = {};
+    const LogIndex missed = lastIndex(*group.leader()->replica);
+    group.runWithLoad(6s, 60min);
+    CatchUp result{group.bytesSent, group.longestWithoutCommit, group.leadershipsEnded, true};
+    for (const CostedMember *member : cut)
+        result.caughtUp = result.caughtUp && lastIndex(*member->replica) >= missed;
+    return result;
+}
+
 } // namespace
 
+// Guards against a leader that sends a member that lags everything again for each rejected request,
+// until it answers nobody else.
+Test(replica_cost, members_that_lag_by_megabytes_catch_up_while_commits_go_on)
+{
+    // Both members miss 4.5 MB. The 600 small commands of the 6 s take 2 MB more, to all members.
+    constexpr std::size_t MAX_BYTES = 2 * 2 * 4'500'000 + 4'000'000;
+    for (const Duration perMegabyte : {10ms, 40ms}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            const CatchUp result = catchUpAfterCut(perMegabyte, seed);
+            const long cost = perMegabyte / 1ms;
+            cr_expect_lt(result.bytesSent, MAX_BYTES, "%ld ms/MB, seed %lu: %zu bytes", cost, seed,
+                         result.bytesSent);
+            cr_expect_lt((result.longestWithoutCommit / 1ms), 1'000,
+                         "%ld ms/MB, seed %lu: no commit for %ld ms", cost, seed,
+                         static_cast<long>(result.longestWithoutCommit / 1ms));
+            cr_expect_eq(result.leadershipsEnded, 0, "%ld ms/MB, seed %lu", cost, seed);
+            cr_expect(result.caughtUp, "%ld ms/MB, seed %lu", cost, seed);
+        }
+    }
+}
+
 // Guards against members that apply their whole log in one step after a restart: the leader loses
 // its lease meanwhile, and the next one does the same.
 Test(replica_cost, first_leader_after_a_restart_of_all_members_stays)
@@ -355,7 +413,6 @@
                 group.kill(member);
             group.runFor(1s);
             group.activeAt.reset();
-            group.leadershipsEnded = 0;
             const TimePoint quorumAt = group.startOneByOne(MEMBERS - fault.lost, fault.gap, seed);
             group.untilActive();
             cr_assert(group.activeAt, "%s, seed %lu: no leader", fault.name, seed);
