--- a/src/tests/crowd_test.cpp
+++ b/src/tests/crowd_test.cpp
@@ -99,9 +99,11 @@
     return reports;
 }
 
+/** @return Report of a host of its own. */
 HostMessageEvent makeReport(std::uint64_t sequence)
 {
     HostReport report;
+    report.holder = {HostId("h" + std::to_string(sequence)), 1};
     report.sequence = sequence;
     return {HostMessage(report)};
 }
