Fix: [State] [Platform] A target's shutdown is acknowledged once it is committed, and all hosts learn it from the table

Cause: three holes in one sum. The acknowledgement was sent as soon as the event was queued at the receiving host; the one report that said it could be lost or be decided by a leader that ended. A new leader learnt the target as one that stays, and sent no list to hosts of the earlier epoch for 3 s, while its grants renewed their trust. Hosts could share a copy of the table that was 500 ms older than the grant.

Change: the shutdown of an incarnation is a command (RecordTargetShutdown) and part of the target's policy, for 60 s. The host that is told submits it like an operator's call, resends it, and answers 503 if the leader has not committed it in time, so that the target asks another host.

The sum: after the commit, a grant that lacks it answers a report sent before; it renews the trust for 2 s from then. So no request is dispatched later than 2 s after the acknowledgement; the rest of the drain time (0.5 s of 2.5 s) is for its way.

--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -125,16 +125,21 @@
                                                 resumable, open, workClass, timeLimitMs, attempts,
                                                 patienceMs, answerGoalMs, priority)
 
-/** Operator settings for one target, in addition to its announcement. */
+/** Operator settings for one target, in addition to its announcement, and its own shutdown. */
 struct TargetPolicy
 {
     TargetId id;
     bool checksFencing = false; ///< Whether the target rejects orders with an old fencing token.
     bool leaving = false; ///< Whether the target is drained and gets no new requests.
+    /** Latest incarnation that has announced its shutdown; it and earlier ones get no new requests.
+     * 0: none. */
+    Incarnation shutDown;
+    Duration shutDownKeptUntil{}; ///< Cluster time at which @c shutDown may be forgotten.
 
     friend bool operator==(const TargetPolicy &, const TargetPolicy &) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetPolicy, id, checksFencing, leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetPolicy, id, checksFencing, leaving, shutDown,
+                                                shutDownKeptUntil)
 
 /** Operator settings for one availability zone. */
 struct ZonePolicy
--- a/src/daemon/operators_port.cpp
+++ b/src/daemon/operators_port.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Duration OPERATOR_TIMEOUT = 8s; ///< Maximum wait for the leader's answer.
+constexpr Duration TARGET_CALL_TIMEOUT
+    = 1s; ///< Maximum wait for the leader's answer to a target's shutdown.
 
 HttpReply errorReply(int status, const std::string &type)
 {
@@ -108,8 +110,16 @@
     } catch (const nlohmann::json::exception &) {
         return errorReply(400, "malformed_announcement");
     }
+    const auto *announced = std::get_if<TargetAnnounced>(&event);
+    const bool leaving = announced != nullptr && announced->announcement.leaving;
+    const RecordTargetShutdown shutdown = leaving
+        ? RecordTargetShutdown{announced->announcement.id, announced->announcement.start}
+        : RecordTargetShutdown{};
     if (!roles.host->post(std::move(event)))
         return errorReply(503, "overloaded");
+    // The acknowledgement promises that no host sends new requests from then on.
+    if (leaving && roles.host->callLeader(shutdown, false, TARGET_CALL_TIMEOUT).error != Errc::Ok)
+        return errorReply(503, "no_leader");
     return jsonReply({{"ok", true}});
 }
 
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -70,8 +70,7 @@
     if (declined != target.declinedUntil.end() && now < declined->second)
         return false;
     return !target.announcement.leaving && !target.statedLeaving && now >= target.quietUntil
-        && now >= target.health.ejectedUntil
-        && acceptsWork(host.view, target.announcement.id, target.announcement.zone)
+        && now >= target.health.ejectedUntil && acceptsWork(host.view, target.announcement)
         && servesCurrentVersion(host, target, group);
 }
 
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -218,8 +218,7 @@
         return running;
     const bool sameZone = target.announcement.zone == host.settings.zone;
     const bool open = !target.announcement.leaving && !target.statedLeaving
-        && now >= target.health.ejectedUntil
-        && acceptsWork(host.view, target.announcement.id, target.announcement.zone);
+        && now >= target.health.ejectedUntil && acceptsWork(host.view, target.announcement);
     if (!open || !servesUsedGroup(host, target, now))
         return static_cast<std::int64_t>(std::round(target.peak));
     const std::int64_t held = std::max<std::int64_t>(target.slots.balance(), 0);
--- a/src/host/stream_cmd.cpp
+++ b/src/host/stream_cmd.cpp
@@ -27,7 +27,7 @@
 bool isLeaving(const Host &host, const KnownTarget &target)
 {
     return target.announcement.leaving || target.statedLeaving
-        || !acceptsWork(host.view, target.announcement.id, target.announcement.zone);
+        || !acceptsWork(host.view, target.announcement);
 }
 
 /** @return Whether a target of the origin holds the request's model, even if it is not eligible at
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -218,10 +218,11 @@
 }
 inline void from_json(const nlohmann::json &, ConfigQuery &) { }
 
-using OperatorBody = std::variant<ApplyConfig, GrantKey, WithdrawKey, SetZone, SetTargetLeaving,
-                                  StatusQuery, ChangeMember, ReplaceConfig, ConfigQuery>;
+using OperatorBody
+    = std::variant<ApplyConfig, GrantKey, WithdrawKey, SetZone, SetTargetLeaving, StatusQuery,
+                   ChangeMember, ReplaceConfig, ConfigQuery, RecordTargetShutdown>;
 
-/** An operator's request, forwarded to the leader by any host. */
+/** A request of an operator, or a target's shutdown, forwarded to the leader by any host. */
 struct OperatorCall
 {
     HolderId holder;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -301,7 +301,7 @@
             ? service->second.adapterSlots
             : std::numeric_limits<int>::max();
         facts.serving = announcement.kind == TargetKind::Engine && !announcement.leaving
-            && acceptsWork(input.view, id, announcement.zone);
+            && acceptsWork(input.view, announcement);
         const std::size_t index = pass.targets.size();
         pass.targetIndex[id] = index;
         for (const CachedModel &cached : announcement.cached) {
--- a/src/state/cluster_base.h
+++ b/src/state/cluster_base.h
@@ -11,6 +11,10 @@
 constexpr std::size_t MAX_RECORDED_CHANGES
     = 4'096; ///< Operators' changes kept, so that resends get the same outcome.
 
+/** Time for which the shutdown of an incarnation is kept; heartbeats that it sent before arrive
+ * earlier. */
+constexpr Duration TARGET_SHUTDOWN_RETENTION = 60s;
+
 /** An operator's change and its outcome, kept so that a resend gets the same outcome. */
 struct RecordedChange
 {
--- a/src/state/cluster_cmd.cpp
+++ b/src/state/cluster_cmd.cpp
@@ -62,6 +62,30 @@
     return outcome;
 }
 
+/** @return Policy of the target; the default one if it has none. */
+TargetPolicy presentPolicy(const Cluster &cluster, const TargetId &target)
+{
+    const auto present = cluster.view.targets.find(target);
+    if (present != cluster.view.targets.end())
+        return present->second;
+    TargetPolicy policy;
+    policy.id = target;
+    return policy;
+}
+
+/** Sets the policy of a target; removes its record if the policy says nothing. */
+void putPolicy(Cluster &cluster, const TargetPolicy &policy)
+{
+    TargetPolicy none;
+    none.id = policy.id;
+    const bool configured = cluster.folder.targets.contains(policy.id);
+    const RecordKey key{RecordKind::Target, policy.id.value};
+    if (policy == none && !configured)
+        putRecord(cluster, key, nullptr);
+    else
+        putRecord(cluster, key, policy);
+}
+
 void replaceConfiguration(Cluster &cluster, const FolderConfig &next)
 {
     const FolderConfig before = std::move(cluster.folder);
@@ -71,13 +95,18 @@
     updateTable(cluster, RecordKind::Service, before.services, next.services);
     updateTable(cluster, RecordKind::Route, before.routes, next.routes);
     for (const auto &[id, policy] : before.targets) {
-        if (!next.targets.contains(id))
-            putRecord(cluster, {RecordKind::Target, id.value}, nullptr);
+        if (next.targets.contains(id))
+            continue;
+        TargetPolicy kept = presentPolicy(cluster, id);
+        kept.checksFencing = kept.leaving = false;
+        putPolicy(cluster, kept);
     }
     for (auto [id, policy] : next.targets) {
-        // SetTargetLeaving sets this flag; a new configuration keeps it.
-        const auto present = cluster.view.targets.find(id);
-        policy.leaving = present != cluster.view.targets.end() && present->second.leaving;
+        // These do not come from the configuration.
+        const TargetPolicy present = presentPolicy(cluster, id);
+        policy.leaving = present.leaving;
+        policy.shutDown = present.shutDown;
+        policy.shutDownKeptUntil = present.shutDownKeptUntil;
         putRecord(cluster, {RecordKind::Target, id.value}, policy);
     }
     cluster.configVersion = Version(++cluster.version.value);
@@ -129,10 +158,7 @@
 
 CommandOutcome execute(Cluster &cluster, const SetTargetLeaving &command)
 {
-    TargetPolicy policy{command.target, false, false};
-    const auto present = cluster.view.targets.find(command.target);
-    if (present != cluster.view.targets.end())
-        policy = present->second;
+    TargetPolicy policy = presentPolicy(cluster, command.target);
     policy.leaving = command.leaving;
     putRecord(cluster, {RecordKind::Target, command.target.value}, policy);
     return success(cluster);
@@ -182,8 +208,32 @@
     return success(cluster);
 }
 
+CommandOutcome execute(Cluster &cluster, const RecordTargetShutdown &command)
+{
+    TargetPolicy policy = presentPolicy(cluster, command.target);
+    if (policy.shutDown < command.start) {
+        policy.shutDown = command.start;
+        policy.shutDownKeptUntil = cluster.clock + TARGET_SHUTDOWN_RETENTION;
+        putPolicy(cluster, policy);
+    }
+    return success(cluster);
+}
+
+void expireShutdowns(Cluster &cluster)
+{
+    const std::map<TargetId, TargetPolicy> targets = cluster.view.targets;
+    for (auto [id, policy] : targets) {
+        if (policy.shutDown == Incarnation() || policy.shutDownKeptUntil > cluster.clock)
+            continue;
+        policy.shutDown = {};
+        policy.shutDownKeptUntil = {};
+        putPolicy(cluster, policy);
+    }
+}
+
 CommandOutcome execute(Cluster &cluster, const RemoveExpired &)
 {
+    expireShutdowns(cluster);
     expireCalls(cluster.calls, cluster.clock);
     expireStreams(cluster.streams, cluster.clock);
     const std::map<Digest, Quarantine> quarantines = cluster.view.quarantines;
--- a/src/state/command_type.h
+++ b/src/state/command_type.h
@@ -125,10 +125,18 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RecordStream, id, origin, owner, revision)
 
+/** Records that a target has announced its shutdown: the incarnation gets no new requests. */
+struct RecordTargetShutdown
+{
+    TargetId target;
+    Incarnation start; ///< The incarnation that shuts down; earlier ones have ended.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RecordTargetShutdown, target, start)
+
 /** Any command. Keep the order of the alternatives: they are encoded by position. */
 using CommandBody = std::variant<ApplyConfig, GrantKey, WithdrawKey, SetZone, SetTargetLeaving,
                                  BeginCall, EndCall, EndHostRun, UpdateReplicas, SetQuarantine,
-                                 RemoveExpired, ReplaceConfig, RecordStream>;
+                                 RemoveExpired, ReplaceConfig, RecordStream, RecordTargetShutdown>;
 
 /** A command with the leader's estimate of cluster time. */
 struct Command
--- a/src/state/view.cpp
+++ b/src/state/view.cpp
@@ -107,13 +107,17 @@
     return account == view.accounts.end() ? nullptr : &account->second;
 }
 
-bool acceptsWork(const ClusterView &view, const TargetId &target, const ZoneId &zone)
+bool acceptsWork(const ClusterView &view, const TargetAnnouncement &target)
 {
-    const auto zonePolicy = view.zones.find(zone);
+    const auto zonePolicy = view.zones.find(target.zone);
     if (zonePolicy != view.zones.end() && zonePolicy->second.out)
         return false;
-    const auto policy = view.targets.find(target);
-    return policy == view.targets.end() || !policy->second.leaving;
+    const auto policy = view.targets.find(target.id);
+    if (policy == view.targets.end())
+        return true;
+    const bool shutsDown
+        = policy->second.shutDown != Incarnation() && policy->second.shutDown >= target.start;
+    return !policy->second.leaving && !shutsDown;
 }
 
 } // namespace bilberry
--- a/src/state/view_func.h
+++ b/src/state/view_func.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/view_base.h"
+#include "target/target_type.h"
 
 namespace bilberry {
 
@@ -47,9 +48,9 @@
 const Account *authenticateKey(const ClusterView &view, const KeyId &id, const Digest &secret);
 
 /**
- * @return Whether operators allow new work on the target: the target is not leaving and its zone is
- *         not taken out of service.
+ * @return Whether the target may get new work: operators have not drained it or taken its zone out
+ *         of service, and this incarnation of it has not announced its shutdown.
  */
-bool acceptsWork(const ClusterView &view, const TargetId &target, const ZoneId &zone);
+bool acceptsWork(const ClusterView &view, const TargetAnnouncement &target);
 
 } // namespace bilberry
