Fix: [Host] [Control] [Platform] A shutdown that names no incarnation is that of the known one

Found by reading (the call that ends a target has no body): took the receiving host's time of day for the latest incarnation that can have started. With a clock that has jumped back, the shutdown would not count; with one that has jumped ahead, the next incarnation would get no requests for 60 s.

Change: the host names the incarnation that it knows, else the leader the one that it knows; if nobody knows the target, the shutdown holds for all incarnations until it expires.

Test: target_shutdown/unnamed_incarnation_is_the_one_that_is_known, and the case `incarnation unnamed` at 9, 66 and 195 hosts. Without the change, a shutdown of incarnation 0 is not recorded.

--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -3,6 +3,8 @@
 
 #include "state/cluster_func.h"
 
+#include <limits>
+
 namespace bilberry {
 
 namespace {
@@ -36,6 +38,22 @@
         effects.toHosts.push_back({call.holder, NotLeader{leaderAddress(control)}});
 }
 
+/**
+ * @return The shutdown with the incarnation that it is about: if neither the target nor the host
+ * has named it, the one that the leader knows, or all if it knows none.
+ */
+RecordTargetShutdown resolveShutdown(const Control &control, RecordTargetShutdown shutdown)
+{
+    if (shutdown.start != Incarnation())
+        return shutdown;
+    const auto &targets = control.leadership->registry.targets;
+    const auto known = targets.find(shutdown.target);
+    shutdown.start = known != targets.end()
+        ? known->second.announcement.start
+        : Incarnation(std::numeric_limits<std::uint64_t>::max());
+    return shutdown;
+}
+
 /**
  * Adds the new member as a learner; continueMemberChange() makes it a voter in place of the removed
  * member once it has caught up. Removes a member at once if none is added.
@@ -175,6 +193,8 @@
                        effects);
             else if constexpr (std::is_same_v<Body, ChangeMember>)
                 changeMember(control, call, body, effects, now);
+            else if constexpr (std::is_same_v<Body, RecordTargetShutdown>)
+                submit(control, call, resolveShutdown(control, body), effects, now);
             else
                 submit(control, call, body, effects, now);
         },
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -43,9 +43,19 @@
     host.earlyReportRequested = true;
 }
 
+/** Names the incarnation that shuts down, if the target did not and this host knows it. */
+void resolveShutdown(const Host &host, RecordTargetShutdown &shutdown)
+{
+    const auto known = host.targets.find(shutdown.target);
+    if (shutdown.start == Incarnation() && known != host.targets.end())
+        shutdown.start = known->second.announcement.start;
+}
+
 void onOperatorRequest(Host &host, const OperatorRequest &request, HostEffects &effects)
 {
-    const OperatorCall call{host.settings.holder, request.id, request.dryRun, request.body};
+    OperatorCall call{host.settings.holder, request.id, request.dryRun, request.body};
+    if (auto *shutdown = std::get_if<RecordTargetShutdown>(&call.body))
+        resolveShutdown(host, *shutdown);
     host.operatorCalls[request.id] = call;
     effects.push_back(SendControl{call});
 }
--- a/src/tests/target_shutdown_test.cpp
+++ b/src/tests/target_shutdown_test.cpp
@@ -20,6 +20,7 @@
 /** Part of the drain time for the way of a request from its dispatch to the target. */
 constexpr Duration REQUEST_WAY = 500ms;
 const TargetId LEAVING("t0");
+const Incarnation FIRST(1);
 
 /** What disturbs the way from the target to all hosts. */
 struct Disturbance
@@ -27,6 +28,7 @@
     Duration leaderRestartsAfter{-1}; ///< From the acknowledgement; negative: it does not restart.
     int lossPercent = 0; ///< Share of the hosts' messages that are lost.
     Duration timePerMessage{}; ///< Time that the leader spends on one message.
+    bool unnamed = false; ///< The target does not say which incarnation shuts down.
     bool changesConfig = false; ///< Hosts are about to get a large change of the configuration.
 };
 
@@ -86,7 +88,8 @@
         }
         this->lossPercent = this->disturbance.lossPercent;
         this->asked = true;
-        this->simulation.sendOperatorRequest(0, RecordTargetShutdown{LEAVING, Incarnation(1)});
+        this->simulation.sendOperatorRequest(
+            0, RecordTargetShutdown{LEAVING, this->disturbance.unnamed ? Incarnation() : FIRST});
         this->simulation.runUntil(this->simulation.now() + PLAY);
     }
 
@@ -183,10 +186,32 @@
         expectDrained(hosts, "leader is busy", {.timePerMessage = 2ms});
         expectDrained(hosts, "busy leader restarts",
                       {.leaderRestartsAfter = 50ms, .lossPercent = 20, .timePerMessage = 1ms});
+        expectDrained(hosts, "incarnation unnamed", {.leaderRestartsAfter = 50ms, .unnamed = true});
         expectDrained(hosts, "shared copies", {.changesConfig = true});
     }
 }
 
+// Guards against a shutdown that says no incarnation and is taken for a later one's too, or for
+// none, by a time of day that has jumped.
+Test(target_shutdown, unnamed_incarnation_is_the_one_that_is_known)
+{
+    for (const bool known : {true, false}) {
+        DecisionSimulation simulation(1, makeFolder(1), 1);
+        SimulatedTarget target;
+        target.announcement.id = LEAVING;
+        target.announcement.service = "s";
+        target.announcement.start = Incarnation(7);
+        if (known)
+            simulation.addTarget(target);
+        simulation.runUntil(simulation.now() + WARM_UP);
+        simulation.sendOperatorRequest(0, RecordTargetShutdown{LEAVING, Incarnation()});
+        simulation.runUntil(simulation.now() + 1s);
+        const Incarnation recorded = simulation.control.cluster.view.targets.at(LEAVING).shutDown;
+        cr_expect_eq(recorded == Incarnation(7), known);
+        cr_expect_geq(recorded.value, 7);
+    }
+}
+
 // Guards against a target that stays unused after it has restarted under its id.
 Test(target_shutdown, next_incarnation_gets_requests)
 {
