Add: [Log] [Daemon] Processor time, longest step and longest pause of the decision thread

Why: `decisionLoad` had the wall time of the decision thread only.

What: processor time of the thread (CLOCK_THREAD_CPUTIME_ID, read by the runner that owns the thread) beside the wall time to decide and to hand over; the longest step with its kind, and the longest pause between two steps, since the last line. A pause holds the wait of an idle thread (up to 10 ms) and queries of the state, too.

What three readings of a second clock cost per event was not measured.

--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -22,6 +22,16 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
+/** @return Both clocks of the calling thread. */
+DecisionClock readClocks()
+{
+    timespec processor{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &processor);
+    return {MonotonicClock::now(),
+            std::chrono::duration_cast<Duration>(std::chrono::seconds(processor.tv_sec)
+                                                 + std::chrono::nanoseconds(processor.tv_nsec))};
+}
+
 /** @return Event for the last log entry that @p write makes durable; empty without entries. */
 std::optional<SyncedEvent> lastSyncedEntry(const JournalWrite &write)
 {
@@ -187,11 +197,12 @@
 
 void ControlRunner::handle(const ControlEvent &event)
 {
-    const TimePoint began = MonotonicClock::now();
-    ControlEffects effects = step(this->control, event, began);
-    const TimePoint decided = MonotonicClock::now();
+    const DecisionClock began = readClocks();
+    recordPause(this->load, began);
+    ControlEffects effects = step(this->control, event, began.wall);
+    const DecisionClock decided = readClocks();
     this->execute(std::move(effects));
-    recordDecision(this->load, kindOf(event), began, decided, MonotonicClock::now());
+    recordDecision(this->load, kindOf(event), began, decided, readClocks());
 }
 
 void ControlRunner::execute(ControlEffects effects)
