Add: [Log] [Consensus] [Control] Reason of each end of a leadership

What: `leadershipEnded` states the term that ended (before: the highest term seen, now `knownTerm`), how long it lasted, the reason (handed over, higher term, lease not renewed, left the voters), and for each member how long ago it last answered and when the answered request was sent. The lease counts from the latter: a member whose two ages differ answers, but late. Voters that did not renew the lease are named. The daemon adds the longest step and the longest pause of the last second. The reason is decided in src/control from the replica's state, without clock or thread.

One field is new in src/consensus, the receipt of a member's latest answer; no decision depends on it.

Not run yet: neither built nor tested, only checked with -fsyntax-only.

--- a/src/consensus/progress_base.h
+++ b/src/consensus/progress_base.h
@@ -34,6 +34,7 @@
     LogIndex next = 1; ///< Index of the next entry to send.
     TimePoint
         lastAcknowledgedSendTime; ///< Send time of the latest request that the member has answered.
+    std::optional<TimePoint> lastAnswerAt; ///< Receipt of the latest answer in this term, if any.
     TimePoint probeSince; ///< Rejections of requests that were sent before are outdated.
     TimePoint snapshotSentAt; ///< Send time of the last snapshot; in state Snapshot only.
     std::deque<EntriesInFlight> inFlight; ///< Oldest first; in state Replicate only.
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -149,6 +149,7 @@
         || it == replica.progress.end())
         return;
     ReplicationProgress &progress = it->second;
+    progress.lastAnswerAt = now;
     progress.lastAcknowledgedSendTime = std::max(progress.lastAcknowledgedSendTime, reply.sentAt);
     if (!reply.success) {
         if (!recordRejection(progress, reply, now))
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -1,6 +1,7 @@
 /** @file control.cpp Event handling of a control member. */
 #include "control/assumption_func.h"
 #include "control/control_internal.h"
+#include "control/leadership_end_func.h"
 
 #include "state/cluster_func.h"
 #include "state/view_func.h"
@@ -50,13 +51,20 @@
     control.leadership = std::move(leadership);
 }
 
-/** Creates the soft state when the replica becomes leader and drops it when it steps down. */
-void syncLeadershipWithRole(Control &control, TimePoint now)
+/**
+ * Creates the soft state when the replica becomes leader. Drops it, and logs why, when the replica
+ * steps down.
+ */
+void syncLeadershipWithRole(Control &control, ControlEffects &effects, TimePoint now)
 {
     const bool leads = control.replica.role == ReplicaRole::Leader;
-    if (!leads)
+    const std::optional<Leadership> &leadership = control.leadership;
+    if (leadership && (!leads || leadership->term != control.replica.hardState.term)) {
+        effects.logEvents.push_back(
+            makeLeadershipEnded(control.replica, leadership->term, leadership->electedAt, now));
         control.leadership.reset();
-    else if (!control.leadership || control.leadership->term != control.replica.hardState.term)
+    }
+    if (leads && !control.leadership)
         startLeadership(control, now);
 }
 
@@ -389,7 +397,7 @@
         assert(restored); // Encoded by a member and checksummed in transit.
         control.cluster = std::move(restored).value();
     }
-    syncLeadershipWithRole(control, now);
+    syncLeadershipWithRole(control, effects, now);
     for (const LogEntry &entry : replicaEffects.committed)
         applyEntry(control, entry, effects);
     effects.roleChanged = effects.roleChanged || replicaEffects.roleChanged;
--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -2,6 +2,7 @@
 #include "daemon/control_runner_base.h"
 
 #include "control/journal_backlog_func.h"
+#include "control/leadership_end_func.h"
 
 #include "core/log_func.h"
 
@@ -32,6 +33,18 @@
                                                  + std::chrono::nanoseconds(processor.tv_nsec))};
 }
 
+/** Writes an event to the log; the end of a leadership with what kept the thread before it. */
+void logNote(const ControlLogEvent &note, const DecisionLoad &load)
+{
+    if (note.event != LEADERSHIP_ENDED_EVENT) {
+        logEventRateLimited(note.event, note.fields);
+        return;
+    }
+    nlohmann::json fields = note.fields;
+    fields["lastSecond"] = toLogFields(longestRecentSpans(load));
+    logEvent(note.event, fields);
+}
+
 /** @return Event for the last log entry that @p write makes durable; empty without entries. */
 std::optional<SyncedEvent> lastSyncedEntry(const JournalWrite &write)
 {
@@ -218,7 +231,7 @@
     for (const OutgoingControlMessage &item : effects.toHosts)
         this->server->sendToHost(item.holder, item.message);
     for (const ControlLogEvent &note : effects.logEvents)
-        logEventRateLimited(note.event, note.fields);
+        logNote(note, this->load);
     for (SendOrder &order : effects.orders) {
         logEventRateLimited("orderDecided",
                             {{"replica", order.replica},
@@ -244,9 +257,9 @@
 {
     const LogReplica &replica = this->control.replica;
     const bool isLeader = replica.role == ReplicaRole::Leader;
-    if (isLeader != this->leading.exchange(isLeader))
-        logEvent(isLeader ? "leadershipWon" : "leadershipEnded",
-                 {{"term", replica.hardState.term}, {"commit", replica.commit}});
+    // The end of a leadership is among the effects, with its reason.
+    if (isLeader != this->leading.exchange(isLeader) && isLeader)
+        logEvent("leadershipWon", {{"term", replica.hardState.term}, {"commit", replica.commit}});
 }
 
 void ControlRunner::sendToMember(const OutgoingMessage &message)
--- a/src/daemon/control_runner_base.h
+++ b/src/daemon/control_runner_base.h
@@ -87,7 +87,7 @@
     void sendToMember(const OutgoingMessage &message);
     /** @return Peer address of @p member; empty if it is unknown. */
     std::string addressOf(const MemberId &member) ABSL_EXCLUSIVE_LOCKS_REQUIRED(linksMutex);
-    /** Publishes and logs whether the member is the leader. */
+    /** Publishes whether the member is the leader, and logs that it has become the leader. */
     void updateLeadership();
 
     Settings settings;
--- a/src/tests/control_group.h
+++ b/src/tests/control_group.h
@@ -107,6 +107,10 @@
             this->undelivered.push({daemon.member, message});
         for (const SendOrder &order : effects.orders)
             this->orders.push_back({daemon.member, this->now, order});
+        for (const ControlLogEvent &note : effects.logEvents) {
+            if (this->onLogEvent)
+                this->onLogEvent(daemon, note);
+        }
         for (const InspectTarget &inspection : effects.inspections) {
             if (this->onInspection)
                 this->onInspection(daemon, inspection);
@@ -237,6 +241,8 @@
     std::vector<IssuedOrder> orders; ///< All orders issued by leaders, oldest first.
     std::function<void(GroupDaemon &, const InspectTarget &)>
         onInspection; ///< Answers a leader's inspection of a target; null: no answer.
+    std::function<void(GroupDaemon &, const ControlLogEvent &)>
+        onLogEvent; ///< Receives what members log; null: dropped.
     std::queue<std::pair<MemberId, OutgoingMessage>>
         undelivered; ///< Messages not delivered yet, with their sender.
     TimePoint now{100s};
