Fix: [Call] Stored answers are bounded in bytes, for an account and in all

What callers see: the answer to a resent call is 409 answer_not_kept also if its account has 4 MiB of stored answers, or as many as are left of 16 MiB for all accounts. The outcome is kept; no call runs twice, and new calls are taken as before.

The content type was not counted at all.

Change: the table counts bytes of stored answers for each account and in all. An answer over a bound is dropped with its content type and marked as truncated. An account may have no more than what is left for all, so that a few accounts do not use up all room.

The bounds are part of the state machine: while members of the earlier and this release are mixed, they can differ in whether an answer is stored, until its record expires.

Not built and not run yet: only checked with -fsyntax-only.

--- a/src/call/call.cpp
+++ b/src/call/call.cpp
@@ -1,16 +1,58 @@
 /** @file call.cpp Records calls so that each is dispatched at most once. */
 #include "call/call_func.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace bilberry {
 
 namespace {
 
+/** @return Bytes of @p answer that count against the bounds of stored answers. */
+std::size_t sizeOf(const StoredAnswer &answer)
+{
+    return answer.contentType.size() + answer.body.size();
+}
+
+void addStoredBytes(CallTable &table, const AccountId &account, std::size_t bytes)
+{
+    if (bytes == 0)
+        return;
+    table.storedBytes[account] += bytes;
+    table.totalStoredBytes += bytes;
+}
+
+void removeStoredBytes(CallTable &table, const AccountId &account, std::size_t bytes)
+{
+    if (bytes == 0)
+        return;
+    const auto stored = table.storedBytes.find(account);
+    assert(stored != table.storedBytes.end() && stored->second >= bytes);
+    stored->second -= bytes;
+    if (stored->second == 0)
+        table.storedBytes.erase(stored);
+    table.totalStoredBytes -= bytes;
+}
+
+/**
+ * @return Whether an answer of @p bytes of @p account may be stored. An account may store as much
+ *         as is left for all accounts, so that accounts with many bytes leave room for others.
+ */
+bool hasRoom(const CallTable &table, const AccountId &account, std::size_t bytes)
+{
+    // A table that was restored from an earlier release may exceed the bound.
+    const std::size_t left = MAX_STORED_BYTES - std::min(table.totalStoredBytes, MAX_STORED_BYTES);
+    const auto stored = table.storedBytes.find(account);
+    const std::size_t after = bytes + (stored == table.storedBytes.end() ? 0 : stored->second);
+    return bytes <= MAX_STORED_ANSWER_BYTES
+        && after <= std::min(MAX_STORED_BYTES_PER_ACCOUNT, left);
+}
+
 void eraseRecord(CallTable &table, std::map<CallId, CallRecord>::iterator it)
 {
     const auto count = table.counts.find(it->first.account);
     assert(count != table.counts.end() && count->second > 0);
+    removeStoredBytes(table, it->first.account, sizeOf(it->second.answer));
     if (--count->second == 0)
         table.counts.erase(count);
     table.records.erase(it);
@@ -18,6 +60,22 @@
 
 } // namespace
 
+void to_json(nlohmann::json &json, const CallTable &table)
+{
+    json = nlohmann::json::object();
+    json["records"] = table.records;
+    json["counts"] = table.counts;
+}
+
+void from_json(const nlohmann::json &json, CallTable &table)
+{
+    table = {};
+    table.records = json.value("records", table.records);
+    table.counts = json.value("counts", table.counts);
+    for (const auto &[id, record] : table.records)
+        addStoredBytes(table, id.account, sizeOf(record.answer));
+}
+
 CallVerdict beginCall(CallTable &table, const CallId &id, const Digest &body,
                       const CallOwner &owner, Duration clock)
 {
@@ -62,10 +120,9 @@
     }
     record.status = CallStatus::Done;
     record.answer = std::move(answer);
-    if (record.answer.body.size() > MAX_STORED_ANSWER_BYTES) {
-        record.answer.body.clear();
-        record.answer.truncated = true;
-    }
+    if (!hasRoom(table, id.account, sizeOf(record.answer)))
+        record.answer = {record.answer.status, "", "", true};
+    addStoredBytes(table, id.account, sizeOf(record.answer));
     return true;
 }
 
--- a/src/call/call_type.h
+++ b/src/call/call_type.h
@@ -12,7 +12,15 @@
 constexpr Duration CALL_RETENTION = std::chrono::hours(
     24); ///< Time that the record of an ended call is kept, in cluster time from its creation.
 constexpr std::size_t MAX_CALL_RECORDS_PER_ACCOUNT = 20'000; ///< Records kept for one account.
-constexpr std::size_t MAX_STORED_ANSWER_BYTES = 64 << 10; ///< Largest stored answer body.
+constexpr std::size_t MAX_STORED_ANSWER_BYTES = 64 << 10; ///< Largest stored answer.
+/** Bytes of stored answers of one account: 20,000 records with about 200 bytes each. */
+constexpr std::size_t MAX_STORED_BYTES_PER_ACCOUNT = 4 << 20;
+/**
+ * Bytes of stored answers of all accounts. While a member, which has 256 MB, encodes a snapshot, it
+ * may hold about eight times as many: the table, its JSON form, the preceding snapshot, a log of
+ * two snapshot sizes, and the new encoding, whose buffer doubles and is copied when it is full.
+ */
+constexpr std::size_t MAX_STORED_BYTES = 16 << 20;
 
 /** Identifies a call across resends. */
 struct CallId
@@ -42,7 +50,7 @@
     int status = 0; ///< HTTP status.
     std::string contentType;
     std::string body;
-    bool truncated = false; ///< The body exceeded MAX_STORED_ANSWER_BYTES and was dropped.
+    bool truncated = false; ///< Body and content type exceeded a bound and were dropped.
 
     friend bool operator==(const StoredAnswer &, const StoredAnswer &) = default;
 };
@@ -75,8 +83,16 @@
 {
     std::map<CallId, CallRecord> records;
     std::map<AccountId, std::size_t> counts; ///< Number of records of each account.
+    /** Bytes of the stored answers of each account that has any; derived from the records. */
+    std::map<AccountId, std::size_t> storedBytes;
+    std::size_t totalStoredBytes = 0; ///< Sum of storedBytes.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallTable, records, counts)
+
+/** Writes the records and their counts, as releases without storedBytes do. */
+void to_json(nlohmann::json &json, const CallTable &table);
+
+/** Reads the records and their counts, and derives the bytes of the stored answers. */
+void from_json(const nlohmann::json &json, CallTable &table);
 
 /** Decision on a host's request to dispatch a call. */
 enum class CallVerdict {
--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -149,7 +149,8 @@
                        {"version", control.cluster.version},
                        {"configVersion", control.cluster.configVersion},
                        {"inForce", inForce(control, now)},
-                       {"callRecords", control.cluster.calls.records.size()}};
+                       {"callRecords", control.cluster.calls.records.size()},
+                       {"storedAnswerBytes", control.cluster.calls.totalStoredBytes}};
     if (!control.leadership)
         return out;
     for (const auto &[id, host] : control.leadership->hosts)
