Fix: [Call] The memory of a dropped answer is given back

What callers see: nothing, until a control member runs out of memory.

Cause: the body of an answer over the bound was cleared.

Change: whether the answer is stored is decided before it is moved into the record, whose own strings are empty.

Not built and not run yet: only checked with -fsyntax-only.

--- a/src/call/call.cpp
+++ b/src/call/call.cpp
@@ -119,9 +119,10 @@
         return true;
     }
     record.status = CallStatus::Done;
-    record.answer = std::move(answer);
-    if (!hasRoom(table, id.account, sizeOf(record.answer)))
-        record.answer = {record.answer.status, "", "", true};
+    // A string that is cleared, or gets a short one assigned, keeps its memory.
+    record.answer = hasRoom(table, id.account, sizeOf(answer))
+        ? std::move(answer)
+        : StoredAnswer{answer.status, "", "", true};
     addStoredBytes(table, id.account, sizeOf(record.answer));
     return true;
 }
--- a/src/tests/call_sweep_test.cpp
+++ b/src/tests/call_sweep_test.cpp
@@ -312,3 +312,18 @@
     cr_assert(endCall(table, id, owner, CallEnd::Answered, {200, type, "a", false}));
     cr_assert(table.records.at(id).answer == (StoredAnswer{200, "", "", true}));
 }
+
+// Guards against a dropped answer whose memory is kept although its bytes do not count.
+Test(call_records, a_dropped_answer_uses_no_memory)
+{
+    CallTable table;
+    const StoredAnswer &large
+        = runCall(table, "a", 0, std::string(MAX_STORED_ANSWER_BYTES + 1, 'a'));
+    cr_assert(large.truncated);
+    cr_assert_leq(large.body.capacity(), std::string().capacity());
+    for (int i = 1; i <= 100; ++i)
+        runCall(table, "a", i, largestBody());
+    const StoredAnswer &beyond = runCall(table, "a", 101, largestBody());
+    cr_assert(beyond.truncated);
+    cr_assert_leq(beyond.body.capacity(), std::string().capacity());
+}
