Fix: [Call] [Net] Answers too long to be stored are not reported to the leader

What callers see: nothing at first; hosts and control members held up to 8 MiB for each recorded call with a long answer: in the report that is resent until it is acknowledged, in the message to the leader, in an entry of the replicated log and its copies. Only the state machine dropped the body.

Change: the host drops a body over MAX_STORED_ANSWER_BYTES with the same rule, before the answer is copied. The caller of the first request gets its answer as before.

Test: an_answer_too_long_to_be_stored_is_relayed_but_not_reported in endless_answer_test; expected to fail before for the answer of 256 KiB. Not built and not run yet: only checked with -fsyntax-only.

--- a/src/call/call.cpp
+++ b/src/call/call.cpp
@@ -127,6 +127,13 @@
     return true;
 }
 
+StoredAnswer makeStoredAnswer(int status, std::string_view contentType, std::string_view body)
+{
+    if (contentType.size() + body.size() > MAX_STORED_ANSWER_BYTES)
+        return {status, "", "", true};
+    return {status, std::string(contentType), std::string(body), false};
+}
+
 std::vector<CallId> markOwnerLost(CallTable &table, const HostId &host, std::uint64_t run)
 {
     std::vector<CallId> lost;
--- a/src/call/call_func.h
+++ b/src/call/call_func.h
@@ -3,6 +3,7 @@
 
 #include "call/call_type.h"
 
+#include <string_view>
 #include <vector>
 
 namespace bilberry {
@@ -27,6 +28,12 @@
 bool endCall(CallTable &table, const CallId &id, const CallOwner &owner, CallEnd end,
              StoredAnswer answer);
 
+/**
+ * @return The answer to be stored; one over MAX_STORED_ANSWER_BYTES without content type and body,
+ *         so that no host or member gets bytes that endCall() would drop.
+ */
+StoredAnswer makeStoredAnswer(int status, std::string_view contentType, std::string_view body);
+
 /**
  * Marks all running calls of a host run that has ended as undetermined.
  * @return Ids of these calls.
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -1,6 +1,7 @@
 /** @file transfer.cpp HTTP request of one attempt to a target. */
 #include "net/transfer_base.h"
 
+#include "call/call_func.h"
 #include "core/log_func.h"
 
 #include <absl/strings/ascii.h>
@@ -455,8 +456,8 @@
     }
     const HeaderList &relayedHeaders = this->readHead().relayedHeaders;
     if (this->attempt.keepAnswer)
-        ended.answer = StoredAnswer{this->status, headerValue(relayedHeaders, "Content-Type"),
-                                    this->body, false};
+        ended.answer = makeStoredAnswer(this->status, headerValue(relayedHeaders, "Content-Type"),
+                                        this->body);
     this->exchange->begin(this->status, "", relayedHeaders, std::move(this->body), false);
     return ended;
 }
--- a/src/tests/endless_answer_test.cpp
+++ b/src/tests/endless_answer_test.cpp
@@ -233,6 +233,7 @@
         attempt.sendBy = attempt.deadline;
         attempt.firstByteLimit = REQUEST_TIMEOUT;
         attempt.interByteLimit = REQUEST_TIMEOUT;
+        attempt.keepAnswer = this->keepAnswers;
         cr_assert(this->client.start(attempt));
         return exchange;
     }
@@ -247,6 +248,7 @@
         return this->ended.at(AttemptId(number));
     }
 
+    bool keepAnswers = false; ///< Whether attempts are of recorded calls.
     absl::Mutex mutex;
     std::map<AttemptId, AttemptEnded> ended;
     std::optional<OrderReply> reply;
@@ -567,3 +569,27 @@
         cr_expect_eq(exchange->buffer, events);
     }
 }
+
+// Guards against answers too long to be stored that hosts and the replicated log nevertheless
+// carry.
+Test(endless_answer, an_answer_too_long_to_be_stored_is_relayed_but_not_reported)
+{
+    for (const std::size_t size : {MAX_STORED_ANSWER_BYTES / 2, MAX_STORED_ANSWER_BYTES * 4}) {
+        const std::string body(size, 'a');
+        EndlessTarget target(
+            {OK_HEAD + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + body, "", true});
+        RecordingClient recorder;
+        recorder.keepAnswers = true;
+        const auto exchange = recorder.start(target.address, "/endless", 1);
+        const auto ended = recorder.waitEnded(1, ATTEMPT_END_TIMEOUT);
+        cr_assert(ended.has_value());
+        cr_assert_eq(ended->result, AttemptResult::Answered);
+        cr_assert(ended->answer.has_value());
+        const bool kept = size <= MAX_STORED_ANSWER_BYTES;
+        cr_expect_eq(ended->answer->status, 200);
+        cr_expect_eq(ended->answer->truncated, !kept);
+        cr_expect_eq(ended->answer->body.size(), kept ? size : 0);
+        absl::MutexLock lock(&exchange->mutex);
+        cr_expect_eq(exchange->buffer, body, "%zu bytes", exchange->buffer.size());
+    }
+}
