--- a/src/tests/endless_answer_test.cpp
+++ b/src/tests/endless_answer_test.cpp
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -593,3 +594,77 @@
         cr_expect_eq(exchange->buffer, body, "%zu bytes", exchange->buffer.size());
     }
 }
+
+namespace {
+
+/** @return The largest resident memory of this process so far, in bytes. */
+std::size_t peakMemory()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return static_cast<std::size_t>(usage.ru_maxrss) << 10;
+}
+
+std::optional<AttemptEnded> endOfJsonAnswer(const std::string &body)
+{
+    EndlessTarget target({OK_HEAD + "Content-Type: application/json\r\nContent-Length: "
+                              + std::to_string(body.size()) + "\r\n\r\n" + body,
+                          "", true});
+    RecordingClient recorder;
+    recorder.start(target.address, "/endless", 1);
+    return recorder.waitEnded(1, ATTEMPT_END_TIMEOUT);
+}
+
+} // namespace
+
+// Guards against an answer within its bound whose values need far more memory than its text.
+Test(endless_answer, counting_tokens_of_a_nested_or_long_json_answer_needs_little_memory)
+{
+    constexpr std::size_t BODY_BYTES = 4 << 20;
+    // The text is in memory several times: in the test, the target and the client.
+    constexpr std::size_t MAX_GROWTH_BYTES = 64 << 20;
+    const std::size_t before = peakMemory();
+    const std::string tail = R"(], "usage": {"completion_tokens": 7}})";
+    std::string flat = R"({"a": [0)";
+    while (flat.size() < BODY_BYTES)
+        flat += ",0";
+    std::string nested = R"({"a": [)" + std::string(BODY_BYTES / 2, '[');
+    nested += std::string(BODY_BYTES / 2, ']');
+    for (const std::string &body : {flat + tail, nested + tail}) {
+        const auto ended = endOfJsonAnswer(body);
+        cr_assert(ended.has_value());
+        cr_expect_eq(ended->result, AttemptResult::Answered);
+        cr_expect_eq(ended->tokens, 7);
+    }
+    cr_expect_leq(peakMemory() - before, MAX_GROWTH_BYTES, "%zu bytes", peakMemory() - before);
+}
+
+// Guards against a reader of tokens that differs from one that keeps the whole answer.
+Test(endless_answer, tokens_of_a_json_answer_are_those_in_its_usage)
+{
+    const std::vector<std::pair<std::string, std::int64_t>> cases{
+        {R"({"usage": {"completion_tokens": 7}})", 7},
+        {R"({"usage": {"a": {"completion_tokens": 8}, "completion_tokens": 7, "b": [1]}})", 7},
+        {R"({"usage": {"completion_tokens": 7}, "a": {"completion_tokens": 8}})", 7},
+        {R"({"a": {"usage": {"completion_tokens": 7}}})", 0},
+        {R"({"completion_tokens": 7})", 0},
+        {R"({"usage": [{"completion_tokens": 7}]})", 0},
+        {R"({"usage": {"completion_tokens": [7]}})", 0},
+        {R"({"usage": {"completion_tokens": -7}})", 0},
+        {R"({"usage": {"completion_tokens": 7.5}})", 0},
+        {R"({"usage": {"completion_tokens": "7"}})", 0},
+        {R"({"usage": {"completion_tokens": 7}, "usage": 1})", 0},
+        {R"({"usage": 1, "usage": {"completion_tokens": 7}})", 7},
+        {R"({"usage": {"completion_tokens": 8, "completion_tokens": 7}})", 7},
+        {R"([{"usage": {"completion_tokens": 7}}])", 0},
+        {R"({"usage": {"completion_tokens": 7})", 0},
+        {R"({"usage": {"completion_tokens": 7}} x)", 0},
+        {"7", 0},
+        {"", 0},
+    };
+    for (const auto &[body, tokens] : cases) {
+        const auto ended = endOfJsonAnswer(body);
+        cr_assert(ended.has_value(), "%s", body.c_str());
+        cr_expect_eq(ended->tokens, tokens, "%s", body.c_str());
+    }
+}
