Fix: [Net] [Host] One bound for the bytes of all answers that a host holds

What callers see: if targets send much that does not end, the attempt that holds most bytes ends first; its caller gets what a too long answer gives (the call may have run), and the others go on. Before, the host ran out of memory, and the requests of all its clients ended with it.

Cause: each answer was bounded (head 64 KiB, event 256 KiB, plain answer 8 MiB, buffer to a slow caller 1 MiB), but not all of them together; twenty plain answers at once exceed a host's 160 MB.

Change: AnswerMemory counts the bodies and heads of all transfers of a TargetClient and the buffers of their exchanges, 32 MiB at most. Bytes that would exceed it let the transfer with most bytes give up its own at once, and the client ends it after libcurl's callbacks with the new ResponseLimit::Memory (answers_without_end_total{bound="memory"}, log line answerMemoryFull). A stream whose caller has bytes to read waits instead, and its buffer may have no more than is left for all, so that slow callers leave room for others.

Not covered: whole answers that wait for a slow caller are counted, but are not ended in favour of others; headers kept with an exchange and what libcurl and libmicrohttpd buffer are not counted; strings that grow can need twice their bytes.

Tests: seven of 64 calls at once in endless_answer_test, beside calls to a sound target, and one of the count. The stand-in listens with a longer backlog and takes the bound of what it pushes as an argument; the bounds of the tests before are unchanged. The new tests need the new interface; with a limit that is never reached they are expected to fail. Not built and not run yet: only checked with -fsyntax-only.

--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -90,6 +90,7 @@
     Event, ///< Size of one event of a streamed response.
     Stream, ///< Total size of a streamed response.
     Time, ///< Deadline of the request.
+    Memory, ///< Bytes of all responses that the host holds; this one held most.
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(ResponseLimit,
                              {{ResponseLimit::None, ""},
@@ -98,7 +99,8 @@
                               {ResponseLimit::BodySize, "plain"},
                               {ResponseLimit::Event, "event"},
                               {ResponseLimit::Stream, "stream"},
-                              {ResponseLimit::Time, "time"}})
+                              {ResponseLimit::Time, "time"},
+                              {ResponseLimit::Memory, "memory"}})
 
 /** An attempt at a target has ended. */
 struct AttemptEnded
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -212,6 +212,7 @@
             size = std::min(max, exchange.buffer.size());
             std::memcpy(out, exchange.buffer.data(), size);
             exchange.buffer.erase(0, size);
+            exchange.held.set(exchange.buffer.size());
             onBufferSpace = std::move(exchange.onBufferSpace);
             exchange.onBufferSpace = nullptr;
         }
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -29,6 +29,7 @@
     this->contentType = std::move(contentType);
     this->headers = std::move(headers);
     this->buffer = std::move(body);
+    this->held.set(this->buffer.size());
     this->resumeCallerLocked();
     return true;
 }
@@ -41,6 +42,7 @@
     if (this->buffer.size() + bytes.size() > MAX_BUFFERED_BYTES && !this->buffer.empty())
         return false;
     this->buffer.append(bytes);
+    this->held.set(this->buffer.size());
     this->resumeCallerLocked();
     return true;
 }
@@ -61,7 +63,8 @@
     {
         absl::MutexLock lock(&this->mutex);
         this->closed = true;
-        this->buffer.clear();
+        std::string().swap(this->buffer);
+        this->held.set(0);
         callback = std::move(this->onBufferSpace);
         this->onBufferSpace = nullptr;
     }
--- a/src/net/exchange_base.h
+++ b/src/net/exchange_base.h
@@ -5,6 +5,7 @@
 #include "call/call_type.h"
 #include "core/ids_type.h"
 #include "host/host_type.h"
+#include "net/answer_memory_base.h"
 
 #include <absl/synchronization/mutex.h>
 #include <functional>
@@ -81,6 +82,8 @@
     std::string contentType ABSL_GUARDED_BY(mutex);
     std::vector<std::pair<std::string, std::string>> headers ABSL_GUARDED_BY(mutex);
     std::string buffer ABSL_GUARDED_BY(mutex); ///< Bytes not yet read by the caller's connection.
+    /** Counts the buffer; whoever changes the buffer sets it. */
+    HeldBytes held ABSL_GUARDED_BY(mutex);
 
 private:
     void resumeCallerLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -49,8 +49,9 @@
 {
 public:
     Impl(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
-         OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent)
+         OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent, std::size_t maxAnswerBytes)
         : exchanges(std::move(exchanges))
+        , memory(std::make_shared<AnswerMemory>(maxAnswerBytes))
         , edge(edge)
         , holder(std::move(holder))
         , onAttemptEvent(std::move(onAttemptEvent))
@@ -88,6 +89,7 @@
             int running = 0;
             curl_multi_perform(this->multi, &running);
             this->collectFinished();
+            this->endWithoutMemory();
             const TimePoint now = MonotonicClock::now();
             if (now >= stallCheckDue) {
                 stallCheckDue = now + STALL_CHECK_INTERVAL;
@@ -112,9 +114,13 @@
             this->onAttemptEvent(std::move(ended));
             return;
         }
-        auto transfer = std::make_unique<Transfer>(attempt, std::move(exchange), this->edge, now);
+        auto transfer = std::make_unique<Transfer>(attempt, std::move(exchange), this->edge,
+                                                   this->memory, now);
         const AttemptId id = attempt.attempt;
         transfer->onBufferSpace = [this, id]() { this->taskQueue.push(Unpause{id}); };
+        transfer->makeRoom = [this, asking = transfer.get()](std::size_t bytes) {
+            return this->makeRoom(*asking, bytes);
+        };
         if (attempt.reportBegin)
             transfer->onBegan = [this, id]() { this->onAttemptEvent(ResponseBegan{id}); };
         transfer->onStated
@@ -226,6 +232,35 @@
         this->onControlEvent(std::move(event));
     }
 
+    /**
+     * Lets transfers give up their memory, the one with most first, until @p bytes more fit.
+     * @return False if @p asking itself would then hold most. Others are not concluded here, as
+     *         libcurl allows no removal of a handle during its callbacks.
+     */
+    bool makeRoom(const Transfer &asking, std::size_t bytes)
+    {
+        while (!this->memory->fits(bytes)) {
+            Transfer *largest = nullptr;
+            for (const auto &[id, transfer] : this->transfers) {
+                if (largest == nullptr || transfer->heldBytes() > largest->heldBytes())
+                    largest = transfer.get();
+            }
+            if (largest == nullptr || largest->heldBytes() <= asking.heldBytes() + bytes)
+                return false;
+            largest->giveUpMemory();
+        }
+        return true;
+    }
+
+    void endWithoutMemory()
+    {
+        for (auto it = this->transfers.begin(); it != this->transfers.end();) {
+            const auto transfer = it++;
+            if (transfer->second->hasGivenUpMemory())
+                this->conclude(transfer, CURLE_WRITE_ERROR, false, false);
+        }
+    }
+
     void endStalled(TimePoint now)
     {
         std::vector<AttemptId> stalledAttempts;
@@ -247,6 +282,7 @@
     }
 
     std::shared_ptr<ExchangeTable> exchanges;
+    const std::shared_ptr<AnswerMemory> memory;
     const Edge &edge;
     const std::string holder;
     OnAttemptEvent onAttemptEvent;
@@ -262,9 +298,10 @@
 
 TargetClient::TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge,
                            std::string holder, OnAttemptEvent onAttemptEvent,
-                           OnControlEvent onControlEvent)
+                           OnControlEvent onControlEvent, std::size_t maxAnswerBytes)
     : impl(std::make_unique<Impl>(std::move(exchanges), edge, std::move(holder),
-                                  std::move(onAttemptEvent), std::move(onControlEvent)))
+                                  std::move(onAttemptEvent), std::move(onControlEvent),
+                                  maxAnswerBytes))
 {
 }
 
@@ -300,6 +337,11 @@
     return this->impl->taskQueue.tryPush(std::move(item));
 }
 
+const AnswerMemory &TargetClient::answerMemory() const
+{
+    return *this->impl->memory;
+}
+
 void TargetClient::stop()
 {
     this->impl->stop();
--- a/src/net/target_client_base.h
+++ b/src/net/target_client_base.h
@@ -28,9 +28,11 @@
     /**
      * @param edge Must outlive the client.
      * @param holder Id of this process's host; orders carry it as their sender.
+     * @param maxAnswerBytes Bound of the bytes of all answers to attempts that are held at a time.
      */
     TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
-                 OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent);
+                 OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent,
+                 std::size_t maxAnswerBytes = MAX_ANSWER_MEMORY_BYTES);
     ~TargetClient();
     TargetClient(const TargetClient &) = delete;
     TargetClient &operator=(const TargetClient &) = delete;
@@ -48,6 +50,9 @@
     /** Asks a target for its accepted orders. @return False if the queue is full. */
     bool inspect(InspectTarget item);
 
+    /** @return The count of bytes of answers; valid until the client ends. */
+    const AnswerMemory &answerMemory() const;
+
     /** Stops the client's thread; transfers under way are dropped without a callback. */
     void stop();
 
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -143,14 +143,20 @@
 }
 
 Transfer::Transfer(const StartAttempt &attempt, std::shared_ptr<Exchange> exchange,
-                   const Edge &edge, TimePoint now)
+                   const Edge &edge, std::shared_ptr<AnswerMemory> memory, TimePoint now)
     : attempt(attempt)
     , easy(curl_easy_init())
     , exchange(std::move(exchange))
     , edge(edge)
     , lastByteAt(now)
     , lastRelayedEvent(attempt.resumeAfter)
+    , memory(std::move(memory))
 {
+    this->held.attach(this->memory);
+    {
+        absl::MutexLock lock(&this->exchange->mutex);
+        this->exchange->held.attach(this->memory);
+    }
     const ForwardedRequest &forwarded = this->exchange->forwarded;
     const std::string url = absl::StrCat("http://", attempt.address, "/");
     curl_easy_setopt(this->easy, CURLOPT_URL, url.c_str());
@@ -251,6 +257,9 @@
     transfer.headBytes += bytes;
     if (transfer.headBytes > MAX_HEADER_BYTES)
         return transfer.abortOnBound(ResponseLimit::HeaderSize);
+    if (!transfer.reserve(bytes))
+        return 0;
+    transfer.countHeld();
     transfer.parseHeaderLine(std::string(data, bytes));
     return bytes;
 }
@@ -314,22 +323,33 @@
     const std::size_t bytes = size * count;
     transfer.lastByteAt = MonotonicClock::now();
     transfer.receivedAny = true;
+    if (transfer.hasGivenUpMemory())
+        return 0;
     if (!transfer.readHead().belongsToAttempt)
         return 0; // The answer belongs to another request: abort the transfer.
     if (!transfer.isStreamed()) {
         if (transfer.body.size() + bytes > MAX_PLAIN_ANSWER_BYTES)
             return transfer.abortOnBound(ResponseLimit::BodySize);
+        if (!transfer.reserve(bytes))
+            return 0;
         transfer.body.append(data, bytes);
+        transfer.countHeld();
         return bytes;
     }
     if (transfer.sawEndMarker)
         return 0; // Bytes after the end marker belong to no answer: abort the transfer.
     if (transfer.streamBytes + bytes > MAX_STREAM_BYTES)
         return transfer.abortOnBound(ResponseLimit::Stream);
-    if (!transfer.relay({data, bytes})) {
+    // Complete events are in the body and in the caller's buffer for a moment.
+    const std::size_t needed = 2 * bytes + transfer.body.size();
+    const bool waits = !transfer.memory->fits(needed) && transfer.waitForBufferSpace();
+    if (!waits && !transfer.reserve(needed))
+        return 0;
+    if (waits || !transfer.relay({data, bytes})) {
         transfer.paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
+    transfer.countHeld();
     if (transfer.wrongStart)
         return 0;
     transfer.streamBytes += bytes;
@@ -347,6 +367,43 @@
     return 0;
 }
 
+/** @return Whether @p bytes of the answer may be added; else the transfer has given up its memory.
+ */
+bool Transfer::reserve(std::size_t bytes)
+{
+    if (this->hasGivenUpMemory())
+        return false;
+    const bool fits = this->memory->fits(bytes) || (this->makeRoom && this->makeRoom(bytes));
+    if (!fits)
+        this->giveUpMemory();
+    return fits;
+}
+
+/** @return Whether the caller's buffer has bytes, so that onBufferSpace will be called. */
+bool Transfer::waitForBufferSpace()
+{
+    absl::MutexLock lock(&this->exchange->mutex);
+    if (this->exchange->closed || this->exchange->buffer.empty())
+        return false;
+    this->exchange->onBufferSpace = this->onBufferSpace;
+    return true;
+}
+
+void Transfer::giveUpMemory()
+{
+    logEventRateLimited("answerMemoryFull",
+                        {{"attempt", this->attempt.attempt},
+                         {"request", this->attempt.request},
+                         {"target", this->attempt.target},
+                         {"heldBytes", this->held.get()},
+                         {"heldInAll", this->memory->held()},
+                         {"limit", this->memory->limit}});
+    this->bound = ResponseLimit::Memory;
+    std::string().swap(this->body);
+    HeaderList().swap(this->headers);
+    this->held.set(0);
+}
+
 bool Transfer::isPastDeadline(TimePoint now)
 {
     if (now > this->attempt.deadline)
@@ -380,8 +437,11 @@
         this->exchange->begin(this->status, "", this->readHead().relayedHeaders, "", true);
     {
         absl::MutexLock lock(&this->exchange->mutex);
+        // Streams to slow callers leave as much memory as each of them has.
+        const std::size_t bufferLimit
+            = std::min(Exchange::MAX_BUFFERED_BYTES, this->memory->left());
         const bool full = !this->exchange->closed
-            && this->exchange->buffer.size() + completeEvents.size() > Exchange::MAX_BUFFERED_BYTES
+            && this->exchange->buffer.size() + completeEvents.size() > bufferLimit
             && !this->exchange->buffer.empty();
         if (full) {
             this->exchange->onBufferSpace = this->onBufferSpace;
@@ -543,6 +603,7 @@
     if (this->attempt.keepAnswer)
         ended.answer = makeStoredAnswer(this->status, headerValue(relayedHeaders, "Content-Type"),
                                         this->body);
+    this->held.set(0);
     this->exchange->begin(this->status, "", relayedHeaders, std::move(this->body), false);
     return ended;
 }
@@ -553,6 +614,7 @@
     const bool nothingRelayed = this->lastRelayedEvent == 0 && this->attempt.resumeAfter == 0;
     if (nothingRelayed)
         this->exchange->begin(this->status, "", this->readHead().relayedHeaders, "", true);
+    this->held.set(0);
     if (!this->body.empty())
         this->exchange->append(this->body);
     this->exchange->end(false);
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -25,9 +25,10 @@
      * Prepares the request; TargetClient starts it.
      * @param exchange Must not be null; its caller may have disconnected.
      * @param edge Must outlive the transfer.
+     * @param memory Counts the bytes of the answer, also in the exchange.
      */
     Transfer(const StartAttempt &attempt, std::shared_ptr<Exchange> exchange, const Edge &edge,
-             TimePoint now);
+             std::shared_ptr<AnswerMemory> memory, TimePoint now);
     ~Transfer();
     Transfer(const Transfer &) = delete;
     Transfer &operator=(const Transfer &) = delete;
@@ -51,6 +52,14 @@
      */
     bool isPastDeadline(TimePoint now);
 
+    /** Gives back the bytes of the answer and records ResponseLimit::Memory; TargetClient then
+     * concludes the transfer, which accepts no more bytes. */
+    void giveUpMemory();
+    bool hasGivenUpMemory() const { return this->bound == ResponseLimit::Memory; }
+
+    /** @return Bytes that giveUpMemory() gives back. */
+    std::size_t heldBytes() const { return this->held.get(); }
+
     /**
      * Sends the caller the rest of a complete answer.
      * @param code Result of libcurl.
@@ -66,6 +75,9 @@
     std::function<void()> onBufferSpace;
     /** Called when the first event of this attempt was relayed; set if the attempt asks for it. */
     std::function<void()> onBegan;
+    /** Called if bytes of the answer exceed the bound of AnswerMemory: lets others give up memory.
+     * Returns whether so many bytes may be added now. */
+    std::function<bool(std::size_t)> makeRoom;
     /** Called with the target's statement when the head of the answer is complete, if it states
      * anything or the attempt asks for it. */
     std::function<void(TargetStated)> onStated;
@@ -82,6 +94,9 @@
     bool relay(std::string_view bytes);
     std::size_t endOfMarkedEvent() const;
     std::size_t abortOnBound(ResponseLimit passed);
+    bool reserve(std::size_t bytes);
+    bool waitForBufferSpace();
+    void countHeld() { this->held.set(this->headBytes + this->body.size()); }
     void detectMalformedAnswer(CURLcode code);
     /** Interprets status and headers, once; called only after the last header was received. */
     const AnswerHead &readHead();
@@ -117,6 +132,8 @@
     /** Number of the last relayed event, counted over all attempts of the stream. */
     std::int64_t lastRelayedEvent = 0;
     std::string body; ///< Body of a plain answer, or the incomplete last event of a stream.
+    std::shared_ptr<AnswerMemory> memory;
+    HeldBytes held; ///< Counts head and body.
 };
 
 } // namespace bilberry
--- a/src/tests/endless_answer_test.cpp
+++ b/src/tests/endless_answer_test.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <poll.h>
@@ -44,8 +45,10 @@
 class EndlessTarget
 {
 public:
-    explicit EndlessTarget(EndlessAnswer answer)
+    /** @param maxPushedBytes Bound of the bytes of all connections together. */
+    explicit EndlessTarget(EndlessAnswer answer, std::size_t maxPushedBytes = MAX_PUSHED_BYTES)
         : answer(std::move(answer))
+        , maxPushedBytes(maxPushedBytes)
         , socket(::socket(AF_INET, SOCK_STREAM, 0))
     {
         while (!this->answer.unit.empty() && this->block.size() < MIN_WRITE_BYTES)
@@ -55,7 +58,7 @@
         bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(bound);
         cr_assert_eq(bind(this->socket, reinterpret_cast<sockaddr *>(&bound), size), 0);
-        cr_assert_eq(listen(this->socket, 16), 0);
+        cr_assert_eq(listen(this->socket, 128), 0);
         getsockname(this->socket, reinterpret_cast<sockaddr *>(&bound), &size);
         this->address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
         this->acceptor = std::thread([this]() { this->accept(); });
@@ -174,7 +177,7 @@
             setsockopt(fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
             return;
         }
-        while (this->pushed < MAX_PUSHED_BYTES) {
+        while (this->pushed < this->maxPushedBytes) {
             const std::size_t size = this->send(fd, this->block);
             this->pushed += size;
             if (size < this->block.size())
@@ -190,6 +193,7 @@
     }
 
     const EndlessAnswer answer;
+    const std::size_t maxPushedBytes;
     std::string block;
     int socket;
     std::atomic<bool> stopping{false};
@@ -200,7 +204,8 @@
 /** Client that records ended attempts and the reply to an order. */
 struct RecordingClient
 {
-    explicit RecordingClient(const Edge &edge = nativeEdge())
+    explicit RecordingClient(const Edge &edge = nativeEdge(),
+                             std::size_t maxAnswerBytes = MAX_ANSWER_MEMORY_BYTES)
         : client(
             exchanges, edge, "leader",
             [this](HostEvent &&event) {
@@ -211,7 +216,8 @@
             [this](ControlEvent &&event) {
                 absl::MutexLock lock(&this->mutex);
                 this->reply = std::get<OrderReplyEvent>(event).reply;
-            })
+            },
+            maxAnswerBytes)
     {
     }
 
@@ -283,6 +289,7 @@
             {
                 absl::MutexLock lock(&this->exchange->mutex);
                 this->exchange->buffer.clear();
+                this->exchange->held.set(0);
                 std::swap(onBufferSpace, this->exchange->onBufferSpace);
             }
             if (onBufferSpace)
@@ -668,3 +675,113 @@
         cr_expect_eq(ended->tokens, tokens, "%s", body.c_str());
     }
 }
+
+namespace {
+
+constexpr std::uint64_t CALLS_AT_ONCE = 64;
+/** More than all calls at once can take before each exceeds its own bound. */
+constexpr std::size_t MAX_PUSHED_BY_ALL_BYTES = std::size_t(2) << 30;
+constexpr Duration ALL_ENDED_TIMEOUT = 15s; ///< From the start of the calls to the end of each.
+
+/**
+ * Starts 64 calls at once to a target with an endless answer, and calls to another target beside
+ * them, which must all be answered.
+ * @param limit Bound of the bytes of all answers; small enough that the calls reach it.
+ * @param bounds Bounds that may end a call; the first must have ended at least one.
+ */
+void assertAllBounded(const EndlessAnswer &answer, std::size_t limit,
+                      const std::vector<std::string> &bounds, Duration remaining = REQUEST_TIMEOUT)
+{
+    EndlessTarget endless(answer, MAX_PUSHED_BY_ALL_BYTES);
+    EndlessTarget other(EndlessAnswer{});
+    RecordingClient recorder(nativeEdge(), limit);
+    for (std::uint64_t i = 1; i <= CALLS_AT_ONCE; ++i)
+        recorder.start(endless.address, "/endless", i, remaining);
+    const TimePoint startedAt = MonotonicClock::now();
+    constexpr std::uint64_t SOUND_CALLS = 20;
+    for (std::uint64_t i = 1; i <= SOUND_CALLS; ++i)
+        assertServed(recorder, other, CALLS_AT_ONCE + i);
+    std::map<std::string, int> ended;
+    for (std::uint64_t i = 1; i <= CALLS_AT_ONCE; ++i) {
+        const auto end
+            = recorder.waitEnded(i, startedAt + ALL_ENDED_TIMEOUT - MonotonicClock::now());
+        cr_assert(end.has_value(), "attempt %lu has not ended", static_cast<unsigned long>(i));
+        cr_expect_neq(end->result, AttemptResult::Answered);
+        ++ended[nlohmann::json(end->bound).get<std::string>()];
+    }
+    const std::string summary = nlohmann::json(ended).dump();
+    for (const auto &[bound, count] : ended)
+        cr_expect(std::find(bounds.begin(), bounds.end(), bound) != bounds.end(), "%s",
+                  summary.c_str());
+    cr_expect_gt(ended[bounds.front()], 0, "%s", summary.c_str());
+    const AnswerMemory &memory = recorder.client.answerMemory();
+    cr_expect_leq(memory.peak(), limit, "%zu bytes", memory.peak());
+    cr_expect_gt(memory.peak(), limit / 2, "%zu bytes", memory.peak());
+    assertServed(recorder, other, CALLS_AT_ONCE + SOUND_CALLS + 1);
+    for (std::uint64_t i = 1; i <= CALLS_AT_ONCE + SOUND_CALLS + 1; ++i)
+        recorder.exchanges->remove(RequestId(i));
+    cr_expect_eq(memory.held(), 0, "%zu bytes", memory.held());
+}
+
+} // namespace
+
+// Each of these tests guards against answers, each within its bound, that together exhaust the
+// process's memory.
+
+Test(endless_answer, many_bodies_without_length_at_once)
+{
+    assertAllBounded({OK_HEAD + "\r\n", "body "}, 8 << 20, {"memory", "plain"});
+}
+
+Test(endless_answer, many_bodies_with_length_at_once)
+{
+    assertAllBounded({OK_HEAD + "Content-Length: 1000000000\r\n\r\n", "body "}, 8 << 20,
+                     {"memory", "plain"});
+}
+
+Test(endless_answer, many_chunked_bodies_at_once)
+{
+    assertAllBounded({CHUNKED_HEAD, "400\r\n" + std::string(1'024, 'a') + "\r\n"}, 8 << 20,
+                     {"memory", "plain"});
+}
+
+Test(endless_answer, many_events_at_once)
+{
+    assertAllBounded({STREAM_HEAD + "\r\ndata: ", "a\n"}, 1 << 20, {"memory", "event"});
+}
+
+Test(endless_answer, many_heads_at_once)
+{
+    assertAllBounded({OK_HEAD, "X-Many: a\r\n"}, 128 << 10, {"memory", "head"});
+}
+
+Test(endless_answer, many_interim_answers_at_once)
+{
+    assertAllBounded({"", "HTTP/1.1 102 Processing\r\n\r\n"}, 128 << 10, {"memory", "head"});
+}
+
+// Streams to callers that do not read wait, so that they leave room, until their time is over.
+Test(endless_answer, many_streams_to_callers_that_do_not_read_at_once)
+{
+    assertAllBounded({STREAM_HEAD + "\r\n", EVENT}, 8 << 20, {"time", "memory"}, 3s);
+}
+
+Test(answer_memory, bytes_are_given_back_when_their_owner_ends)
+{
+    const auto memory = std::make_shared<AnswerMemory>(100);
+    {
+        HeldBytes held;
+        held.set(5); // Not attached: counts nowhere.
+        cr_assert_eq(memory->held(), 0);
+        held.attach(memory);
+        held.set(60);
+        held.set(40);
+        cr_assert_eq(memory->held(), 40);
+        cr_assert_eq(memory->peak(), 60);
+        cr_assert(memory->fits(60));
+        cr_assert_not(memory->fits(61));
+        held.set(120);
+        cr_assert_eq(memory->left(), 0);
+    }
+    cr_assert_eq(memory->held(), 0);
+}
