Fix: [Control] Divide slots among the hosts that claim them, not all that ever did

Cause: TargetSlots::demands kept an entry for each host that had ever named the target, since it also held the totals of outcomes, which must not count twice. Each division of slots and each line on a shortage walked all of them, with their empty demand. Change: the totals are a map of their own that is only looked up; demands has the hosts with running or waiting requests, and demand older than BUDGET_LEASE leaves it at the next division. What is counted and divided is the same. Only the syntax of the changed files was checked; not built or run yet.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -28,10 +28,17 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountPools, requests, tokens, recallDue)
 
-/** Latest report of a host on one target; the counters are totals of the host run. */
+/** Requests that run or wait at one target, by the latest report of a host. */
 struct HostSlotDemand
 {
-    std::vector<AccountDemand> demand;
+    std::vector<AccountDemand> demand; ///< Never empty.
+    TimePoint reportedAt;
+};
+
+/** Outcomes at one target, by the latest report of a host; totals of the host run. They are kept
+ * while the host may report them again, so that no outcome counts twice. */
+struct OutcomeTotals
+{
     std::int64_t succeeded = 0;
     std::int64_t overloaded = 0;
     std::int64_t failed = 0;
@@ -52,7 +59,8 @@
     SlotRamp ramp;
     LeasedPool pool;
     RecentOutcomes outcomes;
-    std::map<HolderId, HostSlotDemand> demands;
+    std::map<HolderId, HostSlotDemand> demands; ///< Only of hosts with requests there.
+    std::map<HolderId, OutcomeTotals> totals; ///< Only looked up, never looked through.
     std::map<HolderId, int>
         shares; ///< Slots of each host while demand exceeds the limit; else empty.
     TimePoint sharesComputedAt; ///< Time of the last computation of the shares.
--- a/src/control/slot_claims.cpp
+++ b/src/control/slot_claims.cpp
@@ -25,13 +25,13 @@
     double total = 0;
 };
 
-/** Sums up the demand that hosts have reported within BUDGET_LEASE. */
-SlotClaims collectClaims(const Control &control, const TargetSlots &slots, TimePoint now)
+/** Sums up the demand that hosts have reported within BUDGET_LEASE, and removes older demand. */
+SlotClaims collectClaims(const Control &control, TargetSlots &slots, TimePoint now)
 {
     SlotClaims claims;
+    std::erase_if(slots.demands,
+                  [&](const auto &item) { return now - item.second.reportedAt > BUDGET_LEASE; });
     for (const auto &[holder, demand] : slots.demands) {
-        if (now - demand.reportedAt > BUDGET_LEASE)
-            continue;
         for (const AccountDemand &item : demand.demand) {
             Claim &claim = claims.accounts[item.account];
             const auto account = control.cluster.view.accounts.find(item.account);
@@ -115,7 +115,6 @@
 
 int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now)
 {
-    const std::vector<AccountDemand> &own = slots.demands[holder].demand;
     if (now >= slots.sharesComputedAt + SHARE_UPDATE_INTERVAL) {
         slots.sharesComputedAt = now;
         const SlotClaims claims = collectClaims(control, slots, now);
@@ -129,12 +128,15 @@
     // A new claim gets a free slot before the next division: the host's next report may come long
     // after.
     if (!slots.shares.empty())
-        return !own.empty() && slots.pool.level >= 1 ? 1 : 0;
+        return slots.demands.contains(holder) && slots.pool.level >= 1 ? 1 : 0;
     if (slots.pool.level >= 1)
         return -1;
     // No slot is free: each host keeps only as many slots as its demand and returns idle ones.
     int ownDemand = 0;
-    for (const AccountDemand &item : own)
+    const auto own = slots.demands.find(holder);
+    if (own == slots.demands.end())
+        return ownDemand;
+    for (const AccountDemand &item : own->second.demand)
         ownDemand += item.demand;
     return ownDemand;
 }
@@ -151,9 +153,9 @@
         if (holding.outstanding() <= 0)
             continue;
         ++holders;
-        const auto demand = slots.demands.find(holder);
-        if (demand != slots.demands.end())
-            oldestReport = std::min(oldestReport, demand->second.reportedAt);
+        const auto totals = slots.totals.find(holder);
+        if (totals != slots.totals.end())
+            oldestReport = std::min(oldestReport, totals->second.reportedAt);
     }
     const auto [claims, claimants] = countClaims(slots, now);
     effects.logEvents.push_back({"slotsShort",
@@ -182,9 +184,7 @@
         const auto slots = leadership.slots.find(target);
         if (named.contains(target) || slots == leadership.slots.end())
             continue;
-        const auto demand = slots->second.demands.find(report.holder);
-        if (demand != slots->second.demands.end())
-            demand->second.demand.clear();
+        slots->second.demands.erase(report.holder);
     }
     claimed = std::move(named);
 }
--- a/src/control/slot_grant.cpp
+++ b/src/control/slot_grant.cpp
@@ -64,16 +64,20 @@
 void recordSlotUse(TargetSlots &slots, const HostReport &report, const SlotUse &use, bool ramps,
                    TimePoint now)
 {
-    HostSlotDemand &demand = slots.demands[report.holder];
+    OutcomeTotals &known = slots.totals[report.holder];
     const auto increase = [](std::int64_t total, std::int64_t previous) {
         return std::max<std::int64_t>(total - previous, 0);
     };
-    const std::int64_t succeeded = increase(use.succeeded, demand.succeeded);
-    const std::int64_t failed = increase(use.failed, demand.failed);
+    const std::int64_t succeeded = increase(use.succeeded, known.succeeded);
+    const std::int64_t failed = increase(use.failed, known.failed);
     if (ramps)
-        updateRamp(slots.ramp, succeeded, increase(use.overloaded, demand.overloaded));
+        updateRamp(slots.ramp, succeeded, increase(use.overloaded, known.overloaded));
     recordOutcomes(slots.outcomes, std::max<std::int64_t>(succeeded - failed, 0), failed, now);
-    demand = {use.demand, use.succeeded, use.overloaded, use.failed, now};
+    known = {use.succeeded, use.overloaded, use.failed, now};
+    if (use.demand.empty())
+        slots.demands.erase(report.holder);
+    else
+        slots.demands[report.holder] = {use.demand, now};
     if (slots.ramp.limit != static_cast<int>(slots.pool.bound))
         resize(slots.pool, 0, slots.ramp.limit, now);
 }
