Fix: [Account] A host that has rested for 10 min is not charged again

Cause: a pool erased a holding 10 min after its lease, while the totals that its host reports count from the start of the term. The next report of a host that had left out the account for so long looked like an overrun of all it had ever spent and was taken out of the level again. Change: an expired holding is erased only if a later run of the same host has one; reports of earlier runs are refused. So a pool keeps at most one expired holding a host for longer than 10 min. Only the syntax of the changed file was checked; not built or run yet.

--- a/src/account/leased_pool.cpp
+++ b/src/account/leased_pool.cpp
@@ -3,15 +3,28 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace bilberry {
 
 namespace {
 
-/** Time after expiry for which a holding is kept, so that a late report is not counted twice. */
+/** Time after expiry for which the holding of an ended host run is kept, so that a late report is
+ * not counted twice. */
 constexpr Duration EXPIRED_HOLDING_RETENTION = 10min;
 
-/** Writes off the outstanding amounts of expired holdings; erases holdings expired long ago. */
+/**
+ * @return Whether a later run of the same host has a holding. Otherwise the host may still report
+ * its totals, which count from the start of the term; without the holding, the pool would charge
+ * all of them again.
+ */
+bool isOfEndedRun(const LeasedPool &pool, std::map<HolderId, Holding>::const_iterator holding)
+{
+    const auto next = std::next(holding);
+    return next != pool.holdings.end() && next->first.host == holding->first.host;
+}
+
+/** Writes off the outstanding amounts of expired holdings; erases those of ended runs later. */
 void expireHoldings(LeasedPool &pool, TimePoint now)
 {
     pool.expiryDue = TimePoint::max();
@@ -29,11 +42,13 @@
             pool.level += static_cast<double>(lapsed);
         holding.lapsed += lapsed;
         pool.out -= lapsed;
-        if (now >= holding.expires + EXPIRED_HOLDING_RETENTION) {
+        const TimePoint eraseDue = holding.expires + EXPIRED_HOLDING_RETENTION;
+        if (now < eraseDue)
+            pool.expiryDue = std::min(pool.expiryDue, eraseDue);
+        else if (isOfEndedRun(pool, it)) {
             it = pool.holdings.erase(it);
             continue;
         }
-        pool.expiryDue = std::min(pool.expiryDue, holding.expires + EXPIRED_HOLDING_RETENTION);
         ++it;
     }
 }
