Fix: [Account] A refund is returned once, and not with each report

Cause: settle() lowers the spent total of a host when a request ends below its estimate or has not run. If the higher total was reported before, the pool ignored the lower one, took the returned difference for an overrun and granted it again. The host then held the same amount after each grant, returned it with each report and so named the account for good; the account never got the amount back. Change: report() takes over a lower spent total as an amount that the holder has again. The level stays within bound less outstanding and unknown. An older report that arrives late makes the pool hold back its difference until the next one, never grant it twice. Only the syntax of the changed file was checked; not built or run yet.

--- a/src/account/leased_pool.cpp
+++ b/src/account/leased_pool.cpp
@@ -123,6 +123,11 @@
     refillAndExpire(pool, now);
     Holding &holding = pool.holdings[holder];
     const std::int64_t before = holding.outstanding();
+    // A request that ends below its estimate lowers the holder's spent total: the holder may spend
+    // or return the difference. An older report that arrives late looks the same; until the next
+    // report, the amount then counts as held and is not granted to others.
+    const std::int64_t refunded = std::max<std::int64_t>(holding.spent - spent, 0);
+    holding.spent -= refunded;
     const std::int64_t newlyReturned = std::max<std::int64_t>(returned - holding.returned, 0);
     const std::int64_t newlySpent = std::max<std::int64_t>(spent - holding.spent, 0);
     holding.returned += newlyReturned;
@@ -137,6 +142,10 @@
         pool.level -= static_cast<double>(overrun);
     }
     pool.out += holding.outstanding() - before;
+    // The refill since the amount was spent may have taken its place already.
+    if (refunded > 0)
+        pool.level
+            = std::min(pool.level, pool.bound - pool.unknown - static_cast<double>(pool.out));
     extendLease(pool, holding, expires);
 }
 
