Fix: [Control] No search in the registry for each ready replica at each tick

Cause: publishLoads() searched the registry for the target of every recorded replica before it asked whether the replica is loading. Each tick does so, and the replicas grow with what was ever loaded until the targets are full. Change: only replicas of loading models are searched for. The result is the same, so no test is added. Only the syntax of the file was checked; not built or run yet.

--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -75,8 +75,10 @@
     for (const auto &[id, replica] : replicas) {
         const bool isModelLoad
             = replica.state == ReplicaState::Loading && replica.variant.adapter.value.empty();
+        if (!isModelLoad) // Most replicas are ready; each tick looks at all of them.
+            continue;
         const auto entry = leadership.registry.targets.find(replica.target);
-        if (!isModelLoad || entry == leadership.registry.targets.end()
+        if (entry == leadership.registry.targets.end()
             || !leadership.publishedLoads.insert(id).second)
             continue;
         entry->second.modified = Version(++leadership.registry.version.value);
