Fix: [Control] The leader forgets the claims and totals of ended host runs

Cause: the entries of an earlier run of a host stayed at each target that it had used for the rest of the leadership. Change: a report of a later run ends them; reports of the earlier one are refused since. Only the syntax of the changed files was checked; not built or run yet.

--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -195,12 +195,22 @@
     return now >= leadership.electedAt + TARGET_HEARTBEAT_TIMEOUT || leadership.term == 1;
 }
 
+/** Ends the claims of an ended host run and forgets its totals, as its reports are refused. */
+void forgetRun(Leadership &leadership, const HolderId &ended)
+{
+    for (auto &[target, slots] : leadership.slots) {
+        slots.demands.erase(ended);
+        slots.totals.erase(ended);
+    }
+}
+
 void renewHost(Control &control, const HostReport &report, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
     HostEntry &host = leadership.hosts[report.holder.host];
     if (host.run != 0 && host.run < report.holder.run) {
         (void)proposeCommand(control, EndHostRun{report.holder.host, host.run}, {}, effects, now);
+        forgetRun(leadership, {report.holder.host, host.run});
         host = {};
     }
     host.run = report.holder.run;
--- a/src/tests/calm_cost_test.cpp
+++ b/src/tests/calm_cost_test.cpp
@@ -131,6 +131,23 @@
     cr_expect_eq(claims, 0, "%zu claims", claims);
 }
 
+// Guards against a leader that keeps an entry for each earlier run of a host.
+Test(calm_cost, leader_forgets_ended_runs)
+{
+    CalmCluster cluster;
+    for (int i = 0; i < HOSTS; ++i)
+        cluster.simulation.restartHost(i);
+    cluster.simulation.runUntil(cluster.simulation.now() + WARM_UP);
+    const Leadership &leadership = *cluster.simulation.control.leadership;
+    std::size_t ended = 0;
+    for (const auto &[target, slots] : leadership.slots) {
+        ended += std::count_if(slots.totals.begin(), slots.totals.end(), [&](const auto &item) {
+            return leadership.hosts.at(item.first.host).run != item.first.run;
+        });
+    }
+    cr_expect_eq(ended, 0, "%zu entries of ended runs", ended);
+}
+
 // Guards against reports that name each target that the host has used.
 Test(calm_cost, reports_name_no_idle_targets)
 {
