Fix: [Control] No search for the replica of each order at each target of a delta

Cause: addLoads() searched the table for the replica of every outstanding order, for each changed target of each report's registry delta, before it asked whether the order is for that target. Change: the order's target and action are compared first. The result is the same, so no test is added. Only the syntax of the file was checked; not built or run yet.

--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -110,9 +110,10 @@
 void addLoads(const Control &control, TargetAnnouncement &announcement, TimePoint now)
 {
     for (const auto &[id, order] : control.leadership->planner.orders) {
+        if (order.target != announcement.id || order.order.action != OrderAction::Load)
+            continue; // Checked first, as each delta has many targets and most orders are others'.
         const auto replica = control.cluster.view.replicas.find(id);
-        if (order.target != announcement.id || order.order.action != OrderAction::Load
-            || replica == control.cluster.view.replicas.end())
+        if (replica == control.cluster.view.replicas.end())
             continue;
         const Duration passed = now - order.sentAt;
         announcement.loading.push_back(
