Fix: [Control] A refusal for a rate names a time at which there is budget for this caller too

Suspected cause: requestWait and tokenWait were the time until the pool had one request, or what this host asked for, whoever else waited. All callers refused meanwhile got the same short time and came back to the same empty pool.

Change: the leader keeps the queue before each pool (account/wait_estimate): what each holder lacks, in the order in which they began to wait, dropped if a holder is silent for BUDGET_LEASE; and what refused callers were told to come back for, which the refill works off, 30 s of the rate at most. It sees refusals as need that is gone but not spent, and, where new requests take the place of refused ones between two reports, as need that stood for 600 ms. The wait is the time until the refill has covered all that is before the holder, and the holder. Who gets budget is unchanged, and so is the message.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "account/leased_pool_base.h"
+#include "account/wait_estimate_base.h"
 #include "consensus/replica_base.h"
 #include "control/control_type.h"
 #include "quarantine/part_evidence_base.h"
@@ -25,8 +26,11 @@
     LeasedPool requests;
     LeasedPool tokens;
     TimePoint recallDue; ///< Earliest time of the next recall of unspent amounts from hosts.
+    WaitEstimate requestWaits; ///< Who waits for @c requests.
+    WaitEstimate tokenWaits; ///< Who waits for @c tokens.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountPools, requests, tokens, recallDue)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountPools, requests, tokens, recallDue,
+                                                requestWaits, tokenWaits)
 
 /** Requests that run or wait at one target, by the latest report of a host. */
 struct HostSlotDemand
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -3,6 +3,7 @@
 #include "control/control_internal.h"
 
 #include "account/leased_pool_func.h"
+#include "account/wait_estimate_func.h"
 #include "state/cluster_func.h"
 #include "state/view_func.h"
 #include "target/registry_func.h"
@@ -83,13 +84,17 @@
         AccountPools &pools = findOrCreatePools(leadership, control.leeway, account->second, now);
         AccountGrant out;
         out.account = use.account;
+        const std::int64_t requestsBefore = grantedTo(pools.requests, report.holder);
+        const std::int64_t tokensBefore = grantedTo(pools.tokens, report.holder);
         out.requests
             = reportAndGrant(pools.requests, report.holder, use.requests, sameTerm, expires, now);
         out.tokens
             = reportAndGrant(pools.tokens, report.holder, use.tokens, sameTerm, expires, now);
-        out.requestWait = timeUntilLevel(pools.requests, 1);
-        out.tokenWait = timeUntilLevel(
-            pools.tokens, static_cast<double>(std::max<std::int64_t>(use.tokens.want, 1)));
+        out.requestWait
+            = claimAndEstimateWait(pools.requestWaits, pools.requests, report.holder,
+                                   use.requests.want, out.requests - requestsBefore, now);
+        out.tokenWait = claimAndEstimateWait(pools.tokenWaits, pools.tokens, report.holder,
+                                             use.tokens.want, out.tokens - tokensBefore, now);
         out.settling = pools.requests.unknown > 0 || pools.tokens.unknown > 0;
         grant.accounts.push_back(out);
     }
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -133,8 +133,8 @@
     std::int64_t usedRequests = 0; ///< Requests charged since the last periodic report.
     std::int64_t usedTokens = 0; ///< Tokens charged since the last periodic report.
     std::deque<RequestId> waiting; ///< Requests that wait for budgets, oldest first.
-    Duration requestWait{}; ///< Time until the leader's pool has a request, by its last grant.
-    Duration tokenWait{}; ///< Time until the leader's pool has tokens, by its last grant.
+    Duration requestWait{}; ///< AccountGrant::requestWait of the last grant.
+    Duration tokenWait{}; ///< AccountGrant::tokenWait of the last grant.
     /** Time of the first grant that did not cover the waiting requests; unset while they fit. */
     std::optional<TimePoint> shortSince;
     TimePoint lastUse; ///< Time of the account's last request.
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -240,8 +240,10 @@
     AccountId account;
     std::int64_t requests = 0; ///< Requests granted in this term, in total.
     std::int64_t tokens = 0; ///< Tokens granted in this term, in total.
-    Duration requestWait{}; ///< Time until the pool holds one request; 0 if it does.
-    Duration tokenWait{}; ///< Time until the pool holds the tokens asked for; 0 if it does.
+    /** Time until the pool has the requests asked for, after those that wait or were told to return
+     * earlier; 0 if it has them. */
+    Duration requestWait{};
+    Duration tokenWait{}; ///< The same for the tokens asked for.
     bool settling = false; ///< Grants of an earlier leader may still be outstanding.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountGrant, account, requests, tokens,
