Fix: [Host] A refusal for a rate needs a recent word of the present leader

Callers within their rates were refused for a rate while there was no leader, or after an election: the note that the budgets are short outlived its leader, and nothing asked how old it was. The note now ends with the term, and a host refuses for a rate only within 200 ms of an answer of the leader. Requests wait meanwhile within their time.

--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -20,6 +20,8 @@
 /** Maximum time for which a request waits for a budget that is known to be short. Meanwhile, other
  * hosts may return unused budget to the leader. */
 constexpr Duration MAX_BUDGET_WAIT = 400ms;
+/** What a leader has said of the budgets counts for so long; it may be late, or gone. */
+constexpr Duration LATE_LEADER_TIME = 200ms;
 
 /** Outcome of the admission checks: the admitted request, or the reason for the refusal. */
 struct AdmissionCheck
@@ -226,6 +228,13 @@
     return true;
 }
 
+/** @return Whether the leader has not answered for so long that its last word on budgets may be out
+ * of date. */
+bool isLeaderLate(const Host &host, TimePoint now)
+{
+    return now >= host.lastGrantAt + LATE_LEADER_TIME;
+}
+
 /** Refuses requests whose budgets have been short for longer than the maximum wait. */
 void refuseOverdueBudgetWaits(Host &host, AccountLease &held, HostEffects &effects, TimePoint now)
 {
@@ -234,7 +243,7 @@
         const Request &request = host.requests.at(id);
         // The wait counts from the arrival of the request or from the grant that left the budgets
         // short, whichever is later. Before such a grant, the budgets are not known to be short.
-        const bool mayWait = !held.shortSince
+        const bool mayWait = !held.shortSince || isLeaderLate(host, now)
             || now < std::max(request.arrived, *held.shortSince) + MAX_BUDGET_WAIT;
         if (mayWait)
             return;
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -307,6 +307,7 @@
 
     bool connected = false; ///< Whether the connection to a control host is open.
     std::uint64_t reportSequence = 0; ///< Sequence number of the last report.
+    TimePoint lastGrantAt; ///< Time of the leader's last answer to a report.
     bool awaitingGrant = false; ///< Whether the last report has not been answered yet.
     TimePoint reportSentAt; ///< Time of the last report.
     TimePoint reportDue; ///< Time of the next periodic report.
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -27,6 +27,7 @@
     for (auto &[id, held] : host.accounts) {
         resetForNewTerm(held.requests);
         resetForNewTerm(held.tokens);
+        held.shortSince.reset();
     }
     for (auto &[id, target] : host.targets) {
         resetForNewTerm(target.slots);
@@ -170,6 +171,7 @@
     recordDuration(host.counters.grantDelays, host.grantDelay);
     if (grant.term < host.term)
         return;
+    host.lastGrantAt = now;
     // A grant that answers an older report: its configuration and registry are valid, but its
     // totals may not include the amounts in later reports.
     if (grant.sequence != host.reportSequence) {
