Fix: [Host] The first grant of a term counts for hosts that have carried nothing over

After an election each host needed two round trips before it could use a budget or a slot, the second one after its back-off, and announced its targets only with their next heartbeat: the mark was set and cleared in the same call. Now the first grant counts where the host has brought nothing into the term, the report with carried amounts is sent at once, targets are announced with it, and an empty recall makes a host report at once.

--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -37,6 +37,8 @@
     for (auto &[id, local] : host.localTargets)
         local.changed = true;
     host.earlyReportRequested = true;
+    // The leader's totals are complete once it knows what this host has carried over.
+    host.promptReportRequested = true;
 }
 
 /** Removes a target from the index of targets by work group. */
@@ -107,12 +109,24 @@
     host.registry = delta.version;
 }
 
-/** Takes over the leader's totals of budgets and slots; extends their leases. */
-void applyGrants(Host &host, const HostGrant &grant, TimePoint now)
+/** @return Whether the host has brought nothing of the pool into the term. The leader's totals do
+ * not include in the first grant of a term what the host has carried over or overrun. */
+bool isNewToTerm(const HeldPool &pool)
+{
+    return pool.carried == 0 && pool.spent == 0;
+}
+
+/**
+ * Takes over the leader's totals of budgets and slots; extends their leases.
+ * @param firstOfTerm Whether the grant is the first one of its term.
+ */
+void applyGrants(Host &host, const HostGrant &grant, bool firstOfTerm, TimePoint now)
 {
     const TimePoint expires = grant.sentAt + BUDGET_LEASE;
     for (const AccountGrant &item : grant.accounts) {
         AccountLease &held = host.accounts[item.account];
+        if (firstOfTerm && !(isNewToTerm(held.requests) && isNewToTerm(held.tokens)))
+            continue;
         renewLease(held.requests, item.requests, expires);
         renewLease(held.tokens, item.tokens, expires);
         held.requestWait = item.requestWait;
@@ -128,11 +142,14 @@
         const auto target = host.targets.find(item.target);
         if (target == host.targets.end() || target->second.announcement.start != item.start)
             continue;
+        if (firstOfTerm && !isNewToTerm(target->second.slots))
+            continue;
         renewLease(target->second.slots, item.slots, expires);
         target->second.limit = item.limit;
         target->second.share = item.share;
     }
-    applyRateGrants(host, grant, expires, now);
+    if (!firstOfTerm)
+        applyRateGrants(host, grant, expires, now);
 }
 
 /**
@@ -185,7 +202,7 @@
     if (!applySharedState(host, grant, false, effects, now))
         return;
     for (auto &[id, local] : host.localTargets)
-        local.changed = local.changed && local.heard > host.reportSentAt;
+        local.changed = local.changed && (!sameTerm || local.heard > host.reportSentAt);
     for (const TargetId &id : grant.unknownTargets) {
         const auto local = host.localTargets.find(id);
         if (local != host.localTargets.end())
@@ -208,11 +225,9 @@
     }
     if (grant.registry)
         refuseGoneVersions(host, effects, now);
-    // The totals in the first grant of a term do not include what this host carried over into it.
-    if (sameTerm) {
-        applyGrants(host, grant, now);
+    applyGrants(host, grant, !sameTerm, now);
+    if (sameTerm)
         refuseLateTurns(host, effects, now);
-    }
     // Confirms the new versions to the leader at once, in small clusters only: in large ones, some
     // target changes all the time, and each change would cause an early report from every host.
     if ((grant.table || grant.registry) && host.hostCount <= SMALL_CLUSTER_HOSTS)
@@ -258,9 +273,12 @@
         effects.push_back(SwitchControlHost{message.leaderAddress, {}});
 }
 
-/** Returns the unused budgets of the named accounts with an early report. */
+/** Returns the unused budgets of the named accounts with an early report. If none is named, the
+ * leader asks for a report that it can answer better than the last one. */
 void onRecall(Host &host, const BudgetRecall &recall)
 {
+    if (recall.accounts.empty())
+        host.promptReportRequested = true;
     for (const AccountId &id : recall.accounts) {
         const auto held = host.accounts.find(id);
         if (held == host.accounts.end() || !held->second.waiting.empty())
