Fix: [Control] A tick does not compare each suspected request with each other one

Cause: quarantineSuspects() looked through all suspects for each lost target of each suspect, 100 times a second; a lost rack of engines leaves hundreds of suspects for up to 10 min. They are counted by target once, and only if a request has been lost often enough to be judged; the verdicts are the same.

--- a/src/control/crash_report.cpp
+++ b/src/control/crash_report.cpp
@@ -21,22 +21,53 @@
 /** Limit of quarantined requests and parts; beyond it, suspected parts stay restricted. */
 constexpr std::size_t MAX_QUARANTINES = 10'000;
 
+/** Number of suspects that ran alone, by lost target. */
+using LoneSuspects = std::map<std::pair<TargetId, Incarnation>, int>;
+
+LoneSuspects countLoneSuspects(const Leadership &leadership)
+{
+    LoneSuspects suspects;
+    for (const auto &[request, record] : leadership.crashRecords) {
+        for (const auto &[target, alone] : record.targets)
+            suspects[target] += alone ? 1 : 0;
+    }
+    return suspects;
+}
+
 /** @return Number of lost targets on which @p record is the only suspect that ran alone. */
-std::size_t countUnambiguousLosses(const Leadership &leadership, const CrashRecord &record)
+std::size_t countUnambiguousLosses(const LoneSuspects &suspects, const CrashRecord &record)
 {
     const auto count
         = std::count_if(record.targets.begin(), record.targets.end(), [&](const auto &item) {
-              const auto suspects
-                  = std::count_if(leadership.crashRecords.begin(), leadership.crashRecords.end(),
-                                  [&](const auto &other) {
-                                      const auto same = other.second.targets.find(item.first);
-                                      return same != other.second.targets.end() && same->second;
-                                  });
-              return item.second && suspects == 1;
+              return item.second && suspects.at(item.first) == 1;
           });
     return static_cast<std::size_t>(count);
 }
 
+/** @return Whether the record may be judged now, and suffices for a quarantine if no other request
+ * is suspected for the same losses. */
+bool mayBeQuarantined(const CrashRecord &record, TimePoint now)
+{
+    return now - record.lastReportedAt >= QUARANTINE_DELAY
+        && record.targets.size() >= QUARANTINE_MIN_LOSSES;
+}
+
+/** @return Requests that crash targets. */
+std::vector<Digest> findCrashingRequests(const Leadership &leadership, TimePoint now)
+{
+    std::vector<Digest> found;
+    LoneSuspects suspects;
+    for (const auto &[request, record] : leadership.crashRecords) {
+        if (!mayBeQuarantined(record, now))
+            continue;
+        if (suspects.empty())
+            suspects = countLoneSuspects(leadership);
+        if (countUnambiguousLosses(suspects, record) >= QUARANTINE_MIN_LOSSES)
+            found.push_back(request);
+    }
+    return found;
+}
+
 nlohmann::json describe(const LostRequest &lost)
 {
     return {{"target", lost.target},
@@ -171,14 +202,7 @@
     leadership.suspectsVersion += std::erase_if(leadership.crashRecords, [&](const auto &item) {
         return now - item.second.lastReportedAt > CRASH_RECORD_RETENTION;
     });
-    std::vector<Digest> toQuarantine;
-    for (const auto &[request, record] : leadership.crashRecords) {
-        if (now - record.lastReportedAt < QUARANTINE_DELAY)
-            continue;
-        if (countUnambiguousLosses(leadership, record) >= QUARANTINE_MIN_LOSSES)
-            toQuarantine.push_back(request);
-    }
-    for (const Digest &request : toQuarantine) {
+    for (const Digest &request : findCrashingRequests(leadership, now)) {
         leadership.suspectsVersion += leadership.crashRecords.erase(request);
         quarantine(control, request, effects, now);
     }
--- a/src/tests/leader_cost_test.cpp
+++ b/src/tests/leader_cost_test.cpp
@@ -116,6 +116,36 @@
 
 } // namespace
 
+// Guards against ticks that compare each suspected request with each other one:
+// when a rack of engines is lost, hundreds of requests are suspected, and some
+// of them stay so for minutes.
+Test(leader_cost, suspected_requests_cost_a_tick_little, .timeout = 120) {
+  constexpr int LOST_TARGETS = 25;
+  constexpr int REQUESTS = 500;
+  DecisionSimulation simulation(2, {}, 1);
+  simulation.runUntil(simulation.now() + WARM_UP);
+  Leadership &leadership = *simulation.control.leadership;
+  for (int i = 0; i < REQUESTS; ++i) {
+    CrashRecord &record =
+        leadership.crashRecords[digestOf({std::to_string(i)})];
+    for (const int lost : {i % LOST_TARGETS, (i + 1) % LOST_TARGETS})
+      record.targets[{TargetId("t" + std::to_string(lost)), Incarnation(1)}] =
+          true;
+    record.lastReportedAt = simulation.now();
+  }
+  simulation.runUntil(simulation.now() +
+                      500ms); // From then on the requests are judged.
+  LeaderTime time(simulation);
+  simulation.runUntil(simulation.now() + MEASUREMENT);
+  const double each = time.microseconds / static_cast<double>(time.steps);
+  cr_log_info("%.0f us for each of %lu steps", each,
+              static_cast<unsigned long>(time.steps));
+  cr_expect_leq(each, MAX_MICROSECONDS_PER_TICK,
+                "%.0f us for each of %lu steps", each,
+                static_cast<unsigned long>(time.steps));
+  cr_expect_eq(leadership.crashRecords.size(), REQUESTS);
+}
+
 // Guards against a leader that, after a start from a snapshot, looks through
 // all records of the table for each report: placement changes the version of
 // the table all the time.
