Fix: [Control] Suspects that are cleared one by one are not listed anew to all hosts each time

Cause: each cleared suspect gave the list a new version, and each host got the whole list with its next grant. Hosts learn of additions at once as before, of removals within a second: until then a cleared request only runs apart from other suspects.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -194,7 +194,10 @@
     std::map<CallId, std::vector<std::pair<HolderId, RequestId>>>
         joined; ///< Requests that wait for the outcome of a running call.
     std::map<Digest, CrashRecord> crashRecords;
-    std::uint64_t suspectsVersion = 1; ///< Grows when a key of @c crashRecords is added or removed.
+    /** Grows when a key of @c crashRecords is added, and some time after keys were removed. */
+    std::uint64_t suspectsVersion = 1;
+    bool suspectsRemoved = false; ///< Keys were removed that hosts still have as suspects.
+    TimePoint suspectsRemovalDue; ///< Earliest time at which hosts learn of that.
     PartEvidence partEvidence;
     Planner planner;
     bool active = false; ///< Whether all entries of earlier leaders are applied.
--- a/src/control/crash_report.cpp
+++ b/src/control/crash_report.cpp
@@ -16,6 +16,8 @@
     = 10min; ///< Counted from the latest report on the request.
 constexpr Duration QUARANTINE_DURATION = 10min;
 constexpr std::size_t MAX_CRASH_RECORDS = 10'000;
+/** Suspects are cleared one by one, and each new list goes to all hosts. */
+constexpr Duration SUSPECTS_REMOVAL_INTERVAL = 1s;
 /** A host has the quarantine this long after the verdict, or its freshness lease has ended. */
 constexpr Duration VERDICT_RETENTION = 2 * FRESHNESS_LEASE;
 /** Limit of quarantined requests and parts; beyond it, suspected parts stay restricted. */
@@ -116,6 +118,16 @@
     logSuspicionChanges(before, evidence.suspicions, effects);
 }
 
+/** Lets all hosts have a list of suspects without those that were removed since the last one. */
+void publishRemovedSuspects(Leadership &leadership, TimePoint now)
+{
+    if (!leadership.suspectsRemoved || now < leadership.suspectsRemovalDue)
+        return;
+    leadership.suspectsRemoved = false;
+    leadership.suspectsRemovalDue = now + SUSPECTS_REMOVAL_INTERVAL;
+    ++leadership.suspectsVersion;
+}
+
 void quarantine(Control &control, const Digest &digest, ControlEffects &effects, TimePoint now)
 {
     const Quarantine record{digest, clusterTime(control, now) + QUARANTINE_DURATION};
@@ -160,8 +172,10 @@
                       TimePoint now)
 {
     recordPartEvidence(leadership, report, effects, now);
-    for (const Digest &cleared : report.cleared)
-        leadership.suspectsVersion += leadership.crashRecords.erase(cleared);
+    for (const Digest &cleared : report.cleared) {
+        if (leadership.crashRecords.erase(cleared) > 0)
+            leadership.suspectsRemoved = true;
+    }
     for (const CrashSuspicion &suspicion : report.suspicions) {
         if (leadership.crashRecords.size() >= MAX_CRASH_RECORDS)
             return;
@@ -199,13 +213,16 @@
 {
     Leadership &leadership = *control.leadership;
     quarantineParts(control, effects, now);
-    leadership.suspectsVersion += std::erase_if(leadership.crashRecords, [&](const auto &item) {
+    const std::size_t expired = std::erase_if(leadership.crashRecords, [&](const auto &item) {
         return now - item.second.lastReportedAt > CRASH_RECORD_RETENTION;
     });
+    leadership.suspectsRemoved = leadership.suspectsRemoved || expired > 0;
     for (const Digest &request : findCrashingRequests(leadership, now)) {
-        leadership.suspectsVersion += leadership.crashRecords.erase(request);
+        leadership.crashRecords.erase(request);
+        leadership.suspectsRemoved = true;
         quarantine(control, request, effects, now);
     }
+    publishRemovedSuspects(leadership, now);
 }
 
 } // namespace bilberry
--- a/src/tests/leader_cost_test.cpp
+++ b/src/tests/leader_cost_test.cpp
@@ -169,3 +169,35 @@
   cr_expect_eq(control.value().cluster.hostsVersion, cluster.hostsVersion);
   cr_expect(tableDeltaSince(control.value().cluster, changed).records.empty());
 }
+
+// Guards against a list of all suspects in the grant to each host for each
+// single one of them that is cleared.
+Test(leader_cost, suspects_cleared_one_by_one_are_not_listed_anew_each_time) {
+  constexpr int REQUESTS = 100;
+  constexpr Duration CLEARING = 2s;
+  DecisionSimulation simulation(2, {}, 1);
+  simulation.runUntil(simulation.now() + WARM_UP);
+  Leadership &leadership = *simulation.control.leadership;
+  std::size_t lists = 0;
+  simulation.onGrant = [&](const HostGrant &grant) {
+    lists += grant.suspects.empty() ? 0 : 1;
+  };
+  for (int i = 0; i < REQUESTS; ++i)
+    leadership.crashRecords[digestOf({std::to_string(i)})].lastReportedAt =
+        simulation.now();
+  ++leadership.suspectsVersion;
+  simulation.runUntil(simulation.now() + 1s);
+  cr_assert_geq(lists, 2, "each host has the list");
+  lists = 0;
+  for (int i = 0; i + 1 < REQUESTS; ++i) {
+    simulation.hosts.front().host.cleared.push_back(
+        digestOf({std::to_string(i)}));
+    simulation.runUntil(simulation.now() + CLEARING / REQUESTS);
+  }
+  cr_assert_leq(leadership.crashRecords.size(), REQUESTS / 4);
+  cr_expect_leq(lists, 2 * 3, "%zu lists for two hosts within two seconds",
+                lists);
+  simulation.runUntil(simulation.now() + 2s);
+  for (const SimulatedHost &host : simulation.hosts)
+    cr_expect_eq(host.host.suspects.size(), leadership.crashRecords.size());
+}
