Fix: [Control] Hosts are counted and ranked each 100 ms, and when one joins, not for each report

Cause: each report looked at all hosts to count them. A host whose lease has ended may count for 100 ms longer; one that joins or returns counts at once, so that shared limits are not exceeded. No test of its own: read in the code, cost not measured alone.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -115,6 +115,14 @@
     std::set<TargetId> claimedTargets;
 };
 
+/** Live hosts that serve callers, as counted at one time. */
+struct HostRanks
+{
+    std::map<HostId, int> ranks; ///< Number of those hosts before each known host, by id.
+    int count = 0;
+    TimePoint countedAt;
+};
+
 /**
  * Recipient of the answer to a proposed command; the answer is sent once the command is applied.
  */
@@ -201,6 +209,7 @@
     std::map<TargetId, std::set<HolderId>> awaitingTargets;
     std::map<TargetId, TargetRate> rates; ///< Targets that have stated a request rate.
     std::map<HostId, HostEntry> hosts;
+    HostRanks hostRanks;
     std::map<LogIndex, PendingCommand> pending; ///< By index of the proposed entry.
     std::map<CallId, std::vector<std::pair<HolderId, RequestId>>>
         joined; ///< Requests that wait for the outcome of a running call.
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t MAX_RECALLED_HOLDERS
     = 8; ///< Holders asked per recall; otherwise all hosts would answer at the same time.
 constexpr Duration RECALL_INTERVAL = 100ms; ///< Time between two recalls for one account.
+constexpr Duration HOST_COUNT_INTERVAL = 100ms; ///< Time after which hosts are counted anew.
 
 /** Limits of an account for all hosts together. */
 struct AccountLimits
@@ -170,6 +171,8 @@
         forgetRun(leadership, {report.holder.host, host.run});
         host = {};
     }
+    if (now >= host.leaseEnds || host.servesCallers != report.entry)
+        leadership.hostRanks = {}; // More or fewer hosts share the limits from now on.
     host.run = report.holder.run;
     host.zone = report.zone;
     host.leaseEnds = now + withDriftMargin(FRESHNESS_LEASE);
@@ -243,21 +246,32 @@
     }
 }
 
+/** Counts and ranks the hosts with valid leases that serve callers. */
+HostRanks rankHosts(const Leadership &leadership, TimePoint now)
+{
+    HostRanks ranks;
+    ranks.countedAt = now;
+    for (const auto &[id, host] : leadership.hosts) {
+        ranks.ranks[id] = ranks.count;
+        ranks.count += host.servesCallers && now < host.leaseEnds ? 1 : 0;
+    }
+    return ranks;
+}
+
 /**
  * Adds the number of live hosts that serve callers and the receiver's rank among them, so that each
- * host can take its part of evenly divided limits.
+ * host can take its part of evenly divided limits. A new host counts at once.
  */
-void addHostCount(const Leadership &leadership, const HostId &receiver, HostGrant &grant,
-                  TimePoint now)
+void addHostCount(Leadership &leadership, const HostId &receiver, HostGrant &grant, TimePoint now)
 {
-    grant.hostCount = 0;
-    for (const auto &[id, host] : leadership.hosts) {
-        if (!host.servesCallers || now >= host.leaseEnds)
-            continue;
-        grant.hostRank += id < receiver ? 1 : 0;
-        ++grant.hostCount;
+    HostRanks &known = leadership.hostRanks;
+    auto own = known.ranks.find(receiver);
+    if (own == known.ranks.end() || now >= known.countedAt + HOST_COUNT_INTERVAL) {
+        known = rankHosts(leadership, now);
+        own = known.ranks.find(receiver);
     }
-    grant.hostCount = std::max(grant.hostCount, 1);
+    grant.hostRank = own->second;
+    grant.hostCount = std::max(known.count, 1);
 }
 
 /**
