Fix: [Net] A grant is encoded without a copy of it

Cause: sendToHost() copied each message into a PeerFrame to encode it. No test of its own: read in the code, cost not measured alone.

--- a/src/net/peer_frame.cpp
+++ b/src/net/peer_frame.cpp
@@ -7,18 +7,27 @@
 
 rpc::Frame toWire(const PeerFrame &frame, EncodedTable &tableCache)
 {
+    if (const auto *controlMessage = std::get_if<ControlMessage>(&frame))
+        return toWire(*controlMessage, tableCache);
     rpc::Frame wire;
     const auto *hostMessage = std::get_if<HostMessage>(&frame);
-    const auto *controlMessage = std::get_if<ControlMessage>(&frame);
     if (hostMessage != nullptr && std::holds_alternative<HostReport>(*hostMessage))
         wire.set_report(packReport(std::get<HostReport>(*hostMessage)));
-    else if (controlMessage != nullptr && std::holds_alternative<HostGrant>(*controlMessage))
-        wire.set_grant(packGrant(std::get<HostGrant>(*controlMessage), tableCache));
     else
         wire.set_body(encode(frame));
     return wire;
 }
 
+rpc::Frame toWire(const ControlMessage &message, EncodedTable &tableCache)
+{
+    rpc::Frame wire;
+    if (const auto *grant = std::get_if<HostGrant>(&message))
+        wire.set_grant(packGrant(*grant, tableCache));
+    else
+        wire.set_body(encode(PeerFrame(message)));
+    return wire;
+}
+
 Result<PeerFrame> fromWire(const rpc::Frame &wire)
 {
     if (wire.has_report()) {
--- a/src/net/peer_frame_type.h
+++ b/src/net/peer_frame_type.h
@@ -31,6 +31,9 @@
 /** @return @p frame as the protobuf message to send. @param tableCache See packGrant(). */
 rpc::Frame toWire(const PeerFrame &frame, EncodedTable &tableCache);
 
+/** @return The same for a message to a host. */
+rpc::Frame toWire(const ControlMessage &message, EncodedTable &tableCache);
+
 /** @return The frame decoded from @p wire, or Errc::Malformed. */
 Result<PeerFrame> fromWire(const rpc::Frame &wire);
 
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -206,7 +206,7 @@
 void PeerServer::sendToHost(const HolderId &holder, const ControlMessage &message)
 {
     absl::MutexLock lock(&this->impl->mutex);
-    rpc::Frame frame = toWire(PeerFrame(message), this->impl->tableCache);
+    rpc::Frame frame = toWire(message, this->impl->tableCache);
     const auto it = this->impl->streamsByHolder.find(holder);
     if (it != this->impl->streamsByHolder.end())
         it->second->send(std::move(frame));
