Fix: [Account] [Host] [Control] A refusal for a rate counts what was refused, as hosts report it

What callers saw: Retry-After of 22 s and more, which did not fall after an overload. Cause: the leader guessed what hosts had refused: whatever a holder no longer asked for (budget held ahead, returned budget), and whatever waited for longer than 600 ms, again and again. Hosts now report the total that they have refused, a new field at the end of PoolUse, and that alone is expected back.

--- a/src/account/held_pool_base.h
+++ b/src/account/held_pool_base.h
@@ -15,6 +15,7 @@
     std::int64_t spent = 0; ///< Total used up; may exceed @c granted.
     std::int64_t returned = 0; ///< Total given back to the leader.
     std::int64_t carried = 0; ///< Part of @c granted that was held before the term began.
+    std::int64_t refused = 0; ///< Total for refused requests, see PoolUse.
     /** End of the lease by this host's clock, counted from the sending of the answered report. */
     TimePoint expires;
 
@@ -22,7 +23,7 @@
     std::int64_t balance() const { return this->granted - this->spent - this->returned; }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HeldPool, granted, spent, returned, carried,
-                                                expires)
+                                                refused, expires)
 
 /**
  * Resets the totals for a new term: a positive balance becomes the carried grant, an overrun
@@ -32,7 +33,7 @@
 {
     const std::int64_t remaining = pool.balance();
     pool.granted = pool.carried = std::max<std::int64_t>(remaining, 0);
-    pool.spent = pool.returned = 0;
+    pool.spent = pool.returned = pool.refused = 0;
     // The new leader has to deduct an overrun too.
     if (remaining < 0)
         pool.spent = -remaining;
@@ -61,7 +62,7 @@
 /** @return The totals for the report to the leader. @param want Additional amount asked for. */
 inline PoolUse makePoolUse(const HeldPool &pool, std::int64_t want)
 {
-    return {pool.spent, pool.returned, want, pool.carried};
+    return {pool.spent, pool.returned, want, pool.carried, pool.refused};
 }
 
 } // namespace bilberry
--- a/src/account/leased_pool_base.h
+++ b/src/account/leased_pool_base.h
@@ -34,6 +34,7 @@
     /** Amount written off at expiry and not yet covered by a later report of the holder. */
     std::int64_t lapsed = 0;
     std::int64_t carried = 0; ///< Part of @c granted that an earlier leader granted.
+    std::int64_t refused = 0; ///< Total that the holder reported for refused requests.
     TimePoint expires; ///< End of the lease by the leader's clock.
 
     /** @return Amount that the holder may still spend or return. */
@@ -43,7 +44,7 @@
     }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Holding, granted, spent, returned, lapsed, carried,
-                                                expires)
+                                                refused, expires)
 
 /**
  * Token bucket whose content is granted to holders in leased amounts: level + outstanding + unknown
--- a/src/account/wait_estimate.cpp
+++ b/src/account/wait_estimate.cpp
@@ -24,62 +24,36 @@
     estimate.drainedAt = std::max(estimate.drainedAt, now);
 }
 
-/** Adds what the holder has refused since its last report to the promised amount.
- * @param need Present need of the holder. @param spent Total that it has spent. */
-void promiseRefused(WaitEstimate &estimate, WaitClaim &claim, const LeasedPool &pool,
-                    std::int64_t need, std::int64_t spent, TimePoint now)
-{
-    const std::int64_t served = std::max<std::int64_t>(spent - claim.spent, 0);
-    const std::int64_t refused = std::max<std::int64_t>(claim.need - need - served, 0);
-    estimate.promised += static_cast<double>(refused);
-    claim.left -= served + refused;
-    if (now >= claim.since + TURN_TIME) {
-        // New requests have taken the place of refused ones between two reports. While grants of an
-        // earlier leader are unknown, hosts refuse nothing.
-        if (pool.unknown <= 0)
-            estimate.promised += static_cast<double>(std::max<std::int64_t>(claim.left, 0));
-        claim.since = now;
-        claim.left = need;
-    }
-    estimate.promised = std::min(estimate.promised, pool.rate * toSeconds(MAX_PROMISED_TIME));
-}
-
 } // namespace
 
-std::int64_t grantedTo(const LeasedPool &pool, const HolderId &holder)
+void expectRefused(WaitEstimate &estimate, LeasedPool &pool, const HolderId &holder,
+                   std::int64_t refused, TimePoint now)
 {
-    const auto holding = pool.holdings.find(holder);
-    return holding == pool.holdings.end() ? 0 : holding->second.granted;
+    drainPromises(estimate, pool.rate, now);
+    Holding &holding = pool.holdings[holder];
+    const std::int64_t added = std::max<std::int64_t>(refused - holding.refused, 0);
+    holding.refused += added;
+    estimate.promised = std::min(estimate.promised + static_cast<double>(added),
+                                 pool.rate * toSeconds(MAX_PROMISED_TIME));
 }
 
 Duration claimAndEstimateWait(WaitEstimate &estimate, const LeasedPool &pool,
-                              const HolderId &holder, std::int64_t want, std::int64_t granted,
-                              TimePoint now)
+                              const HolderId &holder, std::int64_t unmet, TimePoint now)
 {
     drainPromises(estimate, pool.rate, now);
     std::erase_if(estimate.claims,
                   [&](const auto &item) { return now - item.second.reportedAt > BUDGET_LEASE; });
-    const auto holding = pool.holdings.find(holder);
-    const bool known = holding != pool.holdings.end();
-    const std::int64_t held = known ? std::max<std::int64_t>(holding->second.outstanding(), 0) : 0;
-    const std::int64_t spent = known ? holding->second.spent : 0;
-    const std::int64_t unmet = std::max<std::int64_t>(want - std::max<std::int64_t>(granted, 0), 0);
-    const std::int64_t need = want > 0 ? unmet + held : 0;
-    const auto earlier = estimate.claims.find(holder);
-    if (earlier != estimate.claims.end())
-        promiseRefused(estimate, earlier->second, pool, need, spent, now);
     TimePoint since = now;
     if (unmet > 0) {
         WaitClaim &claim
-            = estimate.claims.try_emplace(holder, WaitClaim{need, unmet, need, spent, now, now})
-                  .first->second;
-        claim.need = need;
+            = estimate.claims.try_emplace(holder, WaitClaim{unmet, now, now}).first->second;
+        if (now >= claim.since + TURN_TIME)
+            claim.since = now; // New requests have taken the place of those that waited then.
         claim.unmet = unmet;
-        claim.spent = spent;
         claim.reportedAt = now;
         since = claim.since;
-    } else if (earlier != estimate.claims.end()) {
-        estimate.claims.erase(earlier);
+    } else {
+        estimate.claims.erase(holder);
     }
     double ahead = estimate.promised;
     for (const auto &[other, claim] : estimate.claims) {
--- a/src/account/wait_estimate_base.h
+++ b/src/account/wait_estimate_base.h
@@ -9,15 +9,11 @@
 /** Latest demand of a holder that the pool has not met, in units of the pool. */
 struct WaitClaim
 {
-    std::int64_t need = 0; ///< Amount that the holder needs, with what it holds already.
-    std::int64_t unmet = 0; ///< Part of @c need that the holder lacks.
-    std::int64_t left = 0; ///< Part of the need at @c since that is neither spent nor refused yet.
-    std::int64_t spent = 0; ///< Total that the holder had spent by its latest report.
+    std::int64_t unmet = 0; ///< Amount that the holder lacks.
     TimePoint since; ///< Begin of the holder's turn among the claims.
     TimePoint reportedAt;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaitClaim, need, unmet, left, spent, since,
-                                                reportedAt)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaitClaim, unmet, since, reportedAt)
 
 /**
  * The queue before a pool, from which the leader tells each holder when there will be budget for
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -77,12 +77,15 @@
         out.tokens = reportAndGrant(pools.tokens, report.holder, use.tokens, sameTerm, expires,
                                     shortage.tokens, now);
         noteLending(control, use.account, report.holder, shortage);
-        out.requestWait
-            = claimAndEstimateWait(pools.requestWaits, pools.requests, report.holder,
-                                   use.requests.want, use.requests.want - shortage.requests, now);
-        out.tokenWait
-            = claimAndEstimateWait(pools.tokenWaits, pools.tokens, report.holder, use.tokens.want,
-                                   use.tokens.want - shortage.tokens, now);
+        if (sameTerm) {
+            expectRefused(pools.requestWaits, pools.requests, report.holder, use.requests.refused,
+                          now);
+            expectRefused(pools.tokenWaits, pools.tokens, report.holder, use.tokens.refused, now);
+        }
+        out.requestWait = claimAndEstimateWait(pools.requestWaits, pools.requests, report.holder,
+                                               shortage.requests, now);
+        out.tokenWait = claimAndEstimateWait(pools.tokenWaits, pools.tokens, report.holder,
+                                             shortage.tokens, now);
         out.settling = isSettling(*control.leadership, now)
             || isHeldBack(pools.requests, shortage.requests)
             || isHeldBack(pools.tokens, shortage.tokens);
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -251,6 +251,8 @@
         const bool limitsRequests
             = account == host.view.accounts.end() || account->second.limitsRequests;
         const bool requestsShort = limitsRequests && held.requests.balance() < 1;
+        held.requests.refused += 1;
+        held.tokens.refused += request.estimate;
         refuse(host, id, requestsShort ? RefusalCode::RateLimited : RefusalCode::TokenRateLimited,
                effects, now,
                std::max<Duration>(requestsShort ? held.requestWait : held.tokenWait, 1ms));
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -25,8 +25,12 @@
     std::int64_t returned = 0; ///< Amount handed back to the leader.
     std::int64_t want = 0; ///< Amount requested in addition to the current balance.
     std::int64_t carried = 0; ///< Balance left from an earlier term at the start of this term.
+    /** Amount for requests that were refused since the pool lacked it; their callers come back. */
+    std::int64_t refused = 0;
+
+    friend bool operator==(const PoolUse &, const PoolUse &) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PoolUse, spent, returned, want, carried)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PoolUse, spent, returned, want, carried, refused)
 
 /** Use of one account's request and token budgets by a host. */
 struct AccountUse
@@ -34,6 +38,8 @@
     AccountId account;
     PoolUse requests;
     PoolUse tokens;
+
+    friend bool operator==(const AccountUse &, const AccountUse &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountUse, account, requests, tokens)
 
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -53,7 +53,7 @@
 };
 template <> struct Fields<PoolUse>
 {
-    static auto of(auto &v) { return std::tie(v.spent, v.returned, v.want, v.carried); }
+    static auto of(auto &v) { return std::tie(v.spent, v.returned, v.want, v.carried, v.refused); }
 };
 template <> struct Fields<AccountUse>
 {
