Fix: [Host] An account leaves the reports once the leader knows its use

Cause: each host named each account for 5 s after its last request, so that a report of one of 195 hosts had several accounts of which it said nothing new; each costs the leader several searches in pools with hundreds of holders, and bytes. What was reported counts as known once a report that said it is answered in the same term; otherwise it is said again.

--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -138,10 +138,13 @@
     /** Time of the first grant that did not cover the waiting requests; unset while they fit. */
     std::optional<TimePoint> shortSince;
     TimePoint lastUse; ///< Time of the account's last request.
+    std::optional<AccountUse> reported; ///< In the last report; empty if it left the account out.
+    std::optional<AccountUse> confirmed; ///< Latest report that the leader of this term answered.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountLease, requests, tokens, requestDemand,
                                                 tokenDemand, usedRequests, usedTokens, waiting,
-                                                requestWait, tokenWait, shortSince, lastUse)
+                                                requestWait, tokenWait, shortSince, lastUse,
+                                                reported, confirmed)
 
 /** State of one target of the registry, as seen by this host. */
 struct KnownTarget
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -28,6 +28,8 @@
         resetForNewTerm(held.requests);
         resetForNewTerm(held.tokens);
         held.shortSince.reset();
+        held.reported.reset();
+        held.confirmed.reset();
     }
     for (auto &[id, target] : host.targets) {
         resetForNewTerm(target.slots);
@@ -110,6 +112,15 @@
     host.registry = delta.version;
 }
 
+/** Notes what the leader knows of the accounts, as it has answered the last report. */
+void confirmAccounts(Host &host)
+{
+    for (auto &[id, held] : host.accounts) {
+        if (held.reported)
+            held.confirmed = held.reported;
+    }
+}
+
 /** @return Whether the host has brought nothing of the pool into the term. The leader's totals do
  * not include in the first grant of a term what the host has carried over or overrun. */
 bool isNewToTerm(const HeldPool &pool)
@@ -199,6 +210,8 @@
     host.awaitingGrant = false;
     const bool sameTerm = host.term == grant.term;
     confirmRates(host);
+    if (sameTerm)
+        confirmAccounts(host);
     changeTerm(host, grant.term);
     if (!applySharedState(host, grant, false, effects, now))
         return;
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -79,6 +79,14 @@
         || held.requestDemand * PREFETCH_INTERVALS >= MIN_PREFETCHED_REQUESTS;
 }
 
+/** @return Whether the host holds and wants nothing of the account, and the leader knows the rest.
+ */
+bool isKnownToLeader(const AccountLease &held, const AccountUse &use)
+{
+    return held.waiting.empty() && held.requests.balance() == 0 && held.tokens.balance() == 0
+        && use.requests.want == 0 && use.tokens.want == 0 && held.confirmed == use;
+}
+
 /**
  * Reports the use of and the demand for all accounts' budgets.
  * @param periodic Whether this is a periodic report; these update the demand averages.
@@ -94,6 +102,7 @@
             && held.requests.balance() == 0 && held.tokens.balance() == 0;
         if (idle) {
             held.shortSince.reset(); // No further grant will say whether the budgets are short.
+            held.reported.reset();
             continue;
         }
         const auto [requests, tokens] = waitingDemand(host, held);
@@ -102,6 +111,12 @@
         const bool keep = holdsAhead(host, held);
         use.requests = rebalancePool(held.requests, requests, held.requestDemand, keep, now);
         use.tokens = rebalancePool(held.tokens, tokens, held.tokenDemand, keep, now);
+        if (isKnownToLeader(held, use)) {
+            held.shortSince.reset();
+            held.reported.reset();
+            continue;
+        }
+        held.reported = use;
         report.accounts.push_back(use);
     }
 }
