--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -68,7 +68,8 @@
 class Engine:
     """Listens on a loopback address, sends heartbeats and hands each request to `serve`."""
 
-    def __init__(self, deployment, service, ident, zone, serve, models=None, slots=8, ip="127.77.3.1"):
+    def __init__(self, deployment, service, ident, zone, serve, models=None, slots=8,
+                 ip="127.77.3.1", quiet=False):
         self.deployment = deployment
         self.record = deployment.record
         self.service = service
@@ -77,6 +78,7 @@
         self.serve = serve
         self.models = models
         self.slots = slots
+        self.quiet = quiet  # Runs are neither kept nor written to the record.
         self.state = "ready"
         self.sequence = 0
         self.orders = 0
@@ -121,9 +123,10 @@
                 if request.path == "/report":
                     self.answer(sock, request, json.dumps(self.report()).encode())
                     continue
-                self.runs.append(request)
-                self.record.write("server", self.ident, "runs", request.method, request.path,
-                                  "id", request.id, "body", len(request.body), "bytes")
+                if not self.quiet:
+                    self.runs.append(request)
+                    self.record.write("server", self.ident, "runs", request.method, request.path,
+                                      "id", request.id, "body", len(request.body), "bytes")
                 if not self.serve(self, sock, request):
                     return
         except BadRequest as error:
