--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -9,9 +9,11 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -95,6 +97,8 @@
     def __init__(self, record, cores=3, fronts=2):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
+        # The script's time limit ends it by SIGTERM; its `finally` then ends the daemons.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.core_ips = [f"127.77.1.{i + 1}" for i in range(cores)]
@@ -144,6 +148,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def control(self, index=0):
         return f"{self.core_ips[index % len(self.core_ips)]}:{self.ports['control']}"
