Fix: [Net] A request at the control address is taken only if its head is seen to be well formed

What operators saw: a heartbeat with "Content-Length :" or a folded length got two answers, and the text of its body was carried out as an order, such as a replacement of the configuration.

Cause: the same as at the callers' address; this server checked nothing. It also let the library decode the path, which a %00 then cut, and which could hold CR and LF (the id of a target, which goes into a header of requests to it).

Change: the same function as for callers; the path is decoded once, and an escape of a control byte or a malformed one is refused. 400, Connection: close, counted and logged by rule.

Evidence: malformed_control/nothing_of_a_malformed_request_reaches_the_control_address and path_of_the_control_address_is_decoded_once_and_whole failed before (requests taken, connections left open), and pass.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,8 +1,11 @@
 /** @file http_server.cpp HTTP server on libmicrohttpd with one thread per connection. */
 #include "net/http_server_base.h"
 
+#include "net/grammar_log_func.h"
 #include "net/listen_func.h"
+#include "net/request_head_func.h"
 
+#include <absl/strings/ascii.h>
 #include <microhttpd.h>
 
 namespace bilberry {
@@ -12,6 +15,50 @@
 constexpr unsigned MAX_CONNECTIONS = 256;
 constexpr unsigned IDLE_TIMEOUT_SECONDS = 30;
 constexpr std::size_t MAX_BODY_BYTES = 32 << 20;
+constexpr unsigned STATUS_BAD_REQUEST = 400;
+constexpr std::size_t ESCAPE_DIGITS = 2; ///< Hexadecimal digits behind a percent sign.
+
+int hexDigit(char c)
+{
+    if (!absl::ascii_isxdigit(static_cast<unsigned char>(c)))
+        return -1;
+    return absl::ascii_isdigit(static_cast<unsigned char>(c)) ? c - '0'
+                                                              : absl::ascii_tolower(c) - 'a' + 10;
+}
+
+/**
+ * Decodes the path of a request target, once.
+ * @return Nothing if an escape is malformed or stands for a control byte.
+ */
+std::optional<std::string> decodePath(std::string_view target)
+{
+    const std::string_view path = target.substr(0, target.find('?'));
+    std::string decoded;
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        if (path[i] != '%') {
+            decoded += path[i];
+            continue;
+        }
+        if (path.size() - i <= ESCAPE_DIGITS)
+            return std::nullopt;
+        const int high = hexDigit(path[i + 1]);
+        const int low = hexDigit(path[i + 2]);
+        const char byte = static_cast<char>(high * 16 + low);
+        if (high < 0 || low < 0 || absl::ascii_iscntrl(static_cast<unsigned char>(byte)))
+            return std::nullopt;
+        decoded += byte;
+        i += ESCAPE_DIGITS;
+    }
+    return decoded;
+}
+
+MHD_Response *makeResponse(const HttpReply &reply)
+{
+    MHD_Response *response = MHD_create_response_from_buffer(
+        reply.body.size(), const_cast<char *>(reply.body.data()), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type", reply.contentType.c_str());
+    return response;
+}
 
 } // namespace
 
@@ -23,35 +70,75 @@
     {
     }
 
-    static MHD_Result onRequest(void *self, MHD_Connection *connection, const char *url,
-                                const char *method, const char *, const char *upload,
+    /** State of one request on a connection. */
+    struct Context
+    {
+        RawTarget target;
+        bool headRead = false;
+        HttpRequest request;
+    };
+
+    static void *onRequestStart(void *, const char *uri, MHD_Connection *)
+    {
+        auto *context = new Context;
+        context->target = RawTarget::copyOf(uri);
+        return context;
+    }
+
+    static MHD_Result onRequest(void *self, MHD_Connection *connection, const char *,
+                                const char *method, const char *version, const char *upload,
                                 std::size_t *uploadSize, void **state)
     {
-        auto *request = static_cast<HttpRequest *>(*state);
-        if (request == nullptr) {
-            *state = new HttpRequest{method, url, ""};
-            return MHD_YES;
-        }
+        auto &context = *static_cast<Context *>(*state);
+        HttpRequest &request = context.request;
+        if (!context.headRead)
+            return readHead(context, connection, method, version);
         if (*uploadSize > 0) {
-            if (request->body.size() + *uploadSize > MAX_BODY_BYTES)
+            if (request.body.size() + *uploadSize > MAX_BODY_BYTES)
                 return MHD_NO;
-            request->body.append(upload, *uploadSize);
+            request.body.append(upload, *uploadSize);
             *uploadSize = 0;
             return MHD_YES;
         }
-        const HttpReply reply = static_cast<Impl *>(self)->handler(*request);
-        MHD_Response *response = MHD_create_response_from_buffer(
-            reply.body.size(), const_cast<char *>(reply.body.data()), MHD_RESPMEM_MUST_COPY);
-        MHD_add_response_header(response, "Content-Type", reply.contentType.c_str());
+        if (const std::optional<GrammarFault> fault = checkTrailer(connection))
+            return refuseMalformed(connection, *fault);
+        const HttpReply reply = static_cast<Impl *>(self)->handler(request);
+        MHD_Response *response = makeResponse(reply);
         const MHD_Result queued
             = MHD_queue_response(connection, static_cast<unsigned>(reply.status), response);
         MHD_destroy_response(response);
         return queued;
     }
 
+    static MHD_Result readHead(Context &context, MHD_Connection *connection, const char *method,
+                               const char *version)
+    {
+        context.headRead = true;
+        RequestHead head = readRequestHead(connection, method, std::move(context.target), version);
+        if (head.fault)
+            return refuseMalformed(connection, *head.fault);
+        std::optional<std::string> path = decodePath(head.raw.target);
+        if (!path)
+            return refuseMalformed(connection, {GrammarRule::Target, ""});
+        context.request.method = std::move(head.raw.method);
+        context.request.path = *std::move(path);
+        return MHD_YES;
+    }
+
+    /** Refuses a request and closes the connection: no one can tell where the next one begins. */
+    static MHD_Result refuseMalformed(MHD_Connection *connection, const GrammarFault &fault)
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        recordGrammarFault("requestMalformed", fault, {{"port", "inner"}},
+                           std::chrono::duration_cast<std::chrono::seconds>(now).count());
+        const nlohmann::json body{{"error", "malformed_request"}, {"rule", fault.rule}};
+        return queueClosing(connection, STATUS_BAD_REQUEST,
+                            makeResponse({STATUS_BAD_REQUEST, "application/json", body.dump()}));
+    }
+
     static void onCompleted(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode)
     {
-        delete static_cast<HttpRequest *>(*state);
+        delete static_cast<Context *>(*state);
         *state = nullptr;
     }
 
@@ -80,8 +167,8 @@
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, 0, nullptr,
         nullptr, &Impl::onRequest, impl.get(), MHD_OPTION_LISTEN_SOCKET, socket,
         MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-        IDLE_TIMEOUT_SECONDS, MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, nullptr,
-        MHD_OPTION_END);
+        IDLE_TIMEOUT_SECONDS, MHD_OPTION_URI_LOG_CALLBACK, &Impl::onRequestStart, nullptr,
+        MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, nullptr, MHD_OPTION_END);
     if (impl->daemon == nullptr)
         return Errc::AddressInUse;
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
--- /dev/null
+++ b/src/tests/malformed_control_test.cpp
@@ -0,0 +1,80 @@
+/** @file malformed_control_test.cpp Requests at the control address are taken only if their head is
+ * well formed. */
+#include "net/http_server_base.h"
+
+#include <absl/time/clock.h>
+
+#include "malformed_rows.h"
+
+using namespace bilberry;
+
+namespace {
+
+/** Control address that records the requests that it takes. */
+class ControlAddress
+{
+public:
+    ControlAddress()
+        : server(HttpServer::start({"127.0.0.1", 0}, [this](const HttpRequest &request) {
+                     absl::MutexLock lock(&this->mutex);
+                     this->taken.push_back(request.method + " " + request.path + " "
+                                           + request.body);
+                     return HttpReply{};
+                 }).value())
+    {
+    }
+
+    int port() const { return this->server->port(); }
+
+    std::vector<std::string> take()
+    {
+        absl::MutexLock lock(&this->mutex);
+        return std::exchange(this->taken, {});
+    }
+
+private:
+    absl::Mutex mutex;
+    std::vector<std::string> taken ABSL_GUARDED_BY(mutex);
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace
+
+// Guards against an operator's order that stands in the body of a malformed heartbeat and is
+// carried out.
+Test(malformed_control, nothing_of_a_malformed_request_reaches_the_control_address, .timeout = 280)
+{
+    ControlAddress control;
+    for (const Malformed &row : malformedRequests()) {
+        for (const std::size_t cut : {std::size_t{0}, std::size_t{40}, row.bytes.size() / 2}) {
+            RawConnection connection(control.port());
+            connection.send(row.bytes.substr(0, cut));
+            if (cut > 0)
+                absl::SleepFor(absl::Milliseconds(1));
+            connection.send(row.bytes.substr(cut) + goodRequest("behind"));
+            connection.read(0, 2s);
+            checkRefused(row, connection, 0);
+            const std::vector<std::string> taken = control.take();
+            cr_expect(taken.empty(), "%s: taken: %s", row.name.c_str(),
+                      taken.empty() ? "" : taken.front().c_str());
+        }
+    }
+}
+
+// Guards against a path of the control address that names something else after it is decoded.
+Test(malformed_control, path_of_the_control_address_is_decoded_once_and_whole, .timeout = 60)
+{
+    ControlAddress control;
+    for (const std::string path : {"/a%00b", "/a%0d%0aX-A:b", "/a%7f", "/a%", "/a%4", "/a%zz"}) {
+        RawConnection connection(control.port());
+        connection.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        connection.read(0, 2s);
+        checkRefused({path, ""}, connection, 0);
+    }
+    cr_expect(control.take().empty());
+    RawConnection connection(control.port());
+    connection.send("GET /a%20%2541?x=%00 HTTP/1.1\r\nHost: h\r\n\r\n");
+    connection.read(1);
+    cr_expect_eq(connection.statuses(), std::vector<int>{200});
+    cr_expect_eq(control.take(), std::vector<std::string>{"GET /a %41 "});
+}
