--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -33,6 +33,20 @@
     }
 };
 
+/** Time of day of the local machine; it can jump and differ from other machines' by minutes. */
+struct WallClock
+{
+    /** @return Current Unix time in ms; only code that owns a thread may call this. */
+    static std::int64_t unixMs()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    }
+
+    /** @return Current Unix time in seconds; only code that owns a thread may call this. */
+    static std::int64_t unixSeconds() { return unixMs() / 1000; }
+};
+
 /** Time on the local monotonic clock; serialized in microseconds since the clock's epoch. */
 using TimePoint = MonotonicClock::time_point;
 
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -1,6 +1,8 @@
 /** @file log.cpp Structured log, written by a background thread of Boost.Log. */
 #include "core/log_func.h"
 
+#include "core/time_type.h"
+
 #include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -11,7 +13,6 @@
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/make_shared.hpp>
-#include <chrono>
 #include <fstream>
 #include <iostream>
 
@@ -42,12 +43,6 @@
     return boost::make_shared<std::ofstream>(file, std::ios::app);
 }
 
-std::int64_t unixMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 /**
  * Counts a line towards the limit of @p second (Unix time).
  * @return Whether the line is within the limit.
@@ -82,7 +77,7 @@
 
 void logEventRateLimited(const std::string &event, nlohmann::json fields)
 {
-    if (!isWithinLimit(unixMs() / 1000)) {
+    if (!isWithinLimit(WallClock::unixSeconds())) {
         ++linesLeftOut;
         return;
     }
@@ -96,7 +91,7 @@
     nlohmann::json line = fields;
     line["event"] = event;
     line["host"] = hostName;
-    line["unixMs"] = unixMs();
+    line["unixMs"] = WallClock::unixMs();
     BOOST_LOG_TRIVIAL(info) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -25,13 +25,6 @@
 constexpr std::size_t STREAM_BLOCK_BYTES = 16 << 10;
 constexpr std::size_t MAX_LOGGED_ID_BYTES = 256;
 
-/** @return Present time of day in Unix seconds. */
-std::int64_t unixSeconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 } // namespace
 
 class CallerServer::Impl
@@ -101,11 +94,11 @@
                                const GrammarFault &fault) const
     {
         // Only the caller's id is used of what is parsed.
-        const ParsedRequest parsed
-            = this->edge.parseRequest(RequestId(), std::move(context.raw), unixSeconds());
+        const ParsedRequest parsed = this->edge.parseRequest(RequestId(), std::move(context.raw),
+                                                             WallClock::unixSeconds());
         const std::string &tag = parsed.event.tag;
         const std::string id = isFieldValue(tag) && tag.size() <= MAX_LOGGED_ID_BYTES ? tag : "";
-        recordGrammarFault("requestMalformed", fault, {{"tag", id}}, unixSeconds());
+        recordGrammarFault("requestMalformed", fault, {{"tag", id}}, WallClock::unixSeconds());
         RefuseCaller refusal;
         refusal.code = RefusalCode::Malformed;
         const EncodedAnswer answer = this->edge.encodeRefusal(refusal, id);
@@ -135,7 +128,8 @@
     {
         const RequestId id(++this->lastRequest);
         context.exchange = this->exchanges->add(id);
-        ParsedRequest parsed = this->edge.parseRequest(id, std::move(context.raw), unixSeconds());
+        ParsedRequest parsed
+            = this->edge.parseRequest(id, std::move(context.raw), WallClock::unixSeconds());
         if (context.tooLarge)
             parsed.refusal = RefusalCode::BodyTooLarge;
         context.exchange->forwarded = std::move(parsed.forwarded);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -128,9 +128,8 @@
     /** Refuses a request and closes the connection: no one can tell where the next one begins. */
     static MHD_Result refuseMalformed(MHD_Connection *connection, const GrammarFault &fault)
     {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
         recordGrammarFault("requestMalformed", fault, {{"port", "inner"}},
-                           std::chrono::duration_cast<std::chrono::seconds>(now).count());
+                           WallClock::unixSeconds());
         const nlohmann::json body{{"error", "malformed_request"}, {"rule", fault.rule}};
         return queueClosing(connection, STATUS_BAD_REQUEST,
                             makeResponse({STATUS_BAD_REQUEST, "application/json", body.dump()}));
