Fix: [Net] [Platform] An answer of a target is relayed only if its head and trailer are seen to be well formed

What callers saw (answer_fault_test): of an answer with two lengths a complete 200 with a part of the body, of "Content-Length: 0x4" one with none.

Cause: libcurl reads leniently, and what it took was complete for the daemon; a trailer's line that begins with HTTP/ began a new head. Change: each line of a head, of interim heads and of a trailer is checked by the same grammar as requests (addAnswerLine); an answer that breaks it ends with its connection, and the request may have run, also where the answer promised the contrary. An order with such an answer is undetermined. Two ids, seals or promises in one answer make it nobody's.

--- a/src/net/control_transfer.cpp
+++ b/src/net/control_transfer.cpp
@@ -2,6 +2,7 @@
 #include "net/control_transfer_base.h"
 
 #include "core/log_func.h"
+#include "net/grammar_log_func.h"
 #include "net/transfer_base.h"
 
 #include <absl/strings/str_cat.h>
@@ -129,11 +130,18 @@
 {
     auto &transfer = *static_cast<ControlTransfer *>(self);
     const std::string_view text(line, size * count);
-    transfer.headComplete = text.find_first_not_of("\r\n") == std::string_view::npos;
     transfer.headBytes += text.size();
-    if (transfer.headBytes <= MAX_HEADER_BYTES)
+    if (transfer.headBytes > MAX_HEADER_BYTES) {
+        logEventRateLimited("orderAnswerTooLong", {{"bound", ResponseLimit::HeaderSize}});
+        return 0;
+    }
+    const std::optional<GrammarFault> fault = addAnswerLine(transfer.answerLines, text);
+    if (!fault)
         return text.size();
-    logEventRateLimited("orderAnswerTooLong", {{"bound", ResponseLimit::HeaderSize}});
+    const auto *order = std::get_if<SendOrder>(&transfer.call);
+    recordGrammarFault("orderAnswerMalformed", *fault,
+                       {{"replica", order == nullptr ? "" : nlohmann::json(order->replica)}},
+                       WallClock::unixSeconds());
     return 0;
 }
 
@@ -187,7 +195,7 @@
 ControlEvent ControlTransfer::conclude(CURLcode code, const Edge &edge, TimePoint now)
 {
     // libcurl takes a connection that closes inside the head for the end of the answer.
-    if (code == CURLE_OK && !this->headComplete)
+    if (code == CURLE_OK && !this->answerLines.complete)
         code = CURLE_PARTIAL_FILE;
     long status = 0;
     curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
--- a/src/net/control_transfer_base.h
+++ b/src/net/control_transfer_base.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/edge_type.h"
+#include "net/grammar_func.h"
 
 #include <curl/curl.h>
 #include <memory>
@@ -45,7 +46,7 @@
     std::string body; ///< Body of the request.
     std::string answer; ///< Body of the answer, as far as received.
     std::size_t headBytes = 0; ///< Bytes of the answer's header lines so far.
-    bool headComplete = false; ///< The empty line after the latest header lines has arrived.
+    AnswerLines answerLines; ///< Status line and headers of the answer.
     CURL *easy;
     curl_slist *headers = nullptr;
     bool pastSendBy = false; ///< Not sent: connected only after the order's sendBy.
--- a/src/net/grammar.cpp
+++ b/src/net/grammar.cpp
@@ -100,7 +100,8 @@
     return equalHeaderNames(name, CONTENT_LENGTH) || equalHeaderNames(name, TRANSFER_ENCODING);
 }
 
-/** @return Fault in the fields that frame the body. @param mayStand False: there may be none. */
+/** @return Fault in the fields that frame the body. @param mayStand False: none may stand but a
+ * length of 0, which many servers send. */
 std::optional<GrammarFault> checkFraming(const HeaderList &headers, std::string_view version,
                                          bool mayStand)
 {
@@ -111,7 +112,8 @@
         const bool isCoding = equalHeaderNames(name, TRANSFER_ENCODING);
         const bool known = isCoding ? equalHeaderNames(value, CHUNKED) && version == VERSION_1_1
                                     : isLength(value);
-        if (!known || !mayStand || ++count > 1)
+        const bool allowed = mayStand || (!isCoding && value.find_first_not_of('0') == value.npos);
+        if (!known || !allowed || ++count > 1)
             return GrammarFault{GrammarRule::Framing, name};
     }
     return std::nullopt;
--- a/src/net/native_edge.cpp
+++ b/src/net/native_edge.cpp
@@ -73,10 +73,19 @@
     return headers;
 }
 
+/** @return Whether the field tells to which attempt an answer belongs, or whether it ran. */
+bool standsOnceInAnswers(std::string_view name)
+{
+    return equalHeaderNames(name, "X-Correlation-Id") || equalHeaderNames(name, "X-Execution");
+}
+
 AnswerHead readAnswerHead(const ForwardedRequest &, const StartAttempt &attempt, int status,
                           const HeaderList &headers)
 {
     AnswerHead head;
+    // Of an answer with two ids no one can tell whose it is.
+    if (checkRepeated(headers, &standsOnceInAnswers))
+        return head;
     head.belongsToAttempt
         = headerValue(headers, "X-Correlation-Id") == std::to_string(attempt.correlation.value);
     head.identified = head.belongsToAttempt;
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -3,6 +3,7 @@
 
 #include "call/call_func.h"
 #include "core/log_func.h"
+#include "net/grammar_log_func.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -18,7 +19,6 @@
 constexpr std::size_t MAX_STREAM_BYTES = 32 << 20; ///< Bound of all events of one attempt together.
 constexpr const char *EVENT_END = "\n\n";
 constexpr const char *STREAM_END = "data: [DONE]";
-constexpr int FINAL_STATUS = 200; ///< Lowest HTTP status code that is not interim.
 constexpr int SERVER_ERROR = 500; ///< Lowest HTTP status code of a server error.
 
 /**
@@ -260,37 +260,31 @@
     if (!transfer.reserve(bytes))
         return 0;
     transfer.countHeld();
-    transfer.parseHeaderLine(std::string(data, bytes));
-    return bytes;
+    return transfer.readAnswerLine({data, bytes}) ? bytes : 0;
 }
 
-void Transfer::parseHeaderLine(std::string line)
+/** @return Whether the line is well formed; else the answer is not used, and its connection ends.
+ */
+bool Transfer::readAnswerLine(std::string_view line)
 {
-    absl::StripTrailingAsciiWhitespace(&line);
-    if (absl::StartsWith(line, "HTTP/")) {
-        this->headComplete = false;
-        long code = 0;
-        curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &code);
-        this->status = static_cast<int>(code);
-        this->headers.clear(); // Drop the headers of a preceding interim (1xx) answer.
-        this->framed = false;
-        return;
-    }
-    if (line.empty() && this->status >= FINAL_STATUS) {
-        this->headComplete = true;
-        // A refusal that is written once more would pass for the answer to the next request.
-        if (this->readHead().notRun)
-            curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
-        this->reportStatement();
+    const bool wasComplete = this->answerLines.complete;
+    const std::optional<GrammarFault> fault = addAnswerLine(this->answerLines, line);
+    if (fault) {
+        this->bound = ResponseLimit::Unparsable;
+        recordGrammarFault("answerMalformed", *fault,
+                           {{"attempt", this->attempt.attempt},
+                            {"request", this->attempt.request},
+                            {"target", this->attempt.target}},
+                           WallClock::unixSeconds());
+        return false;
     }
-    const std::size_t colon = line.find(':');
-    if (colon == std::string::npos)
-        return;
-    std::string name = line.substr(0, colon);
-    std::string value(absl::StripAsciiWhitespace(line.substr(colon + 1)));
-    this->framed = this->framed || absl::EqualsIgnoreCase(name, "Content-Length")
-        || absl::EqualsIgnoreCase(name, "Transfer-Encoding");
-    this->headers.emplace_back(std::move(name), std::move(value));
+    if (wasComplete || !this->answerLines.complete)
+        return true;
+    // A refusal that is written once more would pass for the answer to the next request.
+    if (this->readHead().notRun)
+        curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
+    this->reportStatement();
+    return true;
 }
 
 void Transfer::reportStatement()
@@ -303,7 +297,6 @@
                             {{"attempt", this->attempt.attempt}, {"target", this->attempt.target}});
     if (!statement->any() && !this->attempt.reportStatement)
         return;
-    // A trailer ends with an empty line, too; the statement is reported once.
     std::exchange(this->onStated,
                   nullptr)({this->attempt.attempt, this->attempt.target, this->attempt.targetStart,
                             *statement, this->sentAt, this->lastByteAt});
@@ -313,7 +306,7 @@
 {
     if (!this->head)
         this->head = this->edge.readAnswerHead(this->exchange->forwarded, this->attempt,
-                                               this->status, this->headers);
+                                               this->answerLines.status, this->answerLines.headers);
     return *this->head;
 }
 
@@ -400,7 +393,7 @@
                          {"limit", this->memory->limit}});
     this->bound = ResponseLimit::Memory;
     std::string().swap(this->body);
-    HeaderList().swap(this->headers);
+    HeaderList().swap(this->answerLines.headers);
     this->held.set(0);
 }
 
@@ -434,7 +427,8 @@
         return true;
     const bool first = this->lastRelayedEvent == 0 && this->attempt.resumeAfter == 0;
     if (first)
-        this->exchange->begin(this->status, "", this->readHead().relayedHeaders, "", true);
+        this->exchange->begin(this->answerLines.status, "", this->readHead().relayedHeaders, "",
+                              true);
     {
         absl::MutexLock lock(&this->exchange->mutex);
         // Streams to slow callers leave as much memory as each of them has.
@@ -528,10 +522,10 @@
 {
     long sent = 0;
     curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &sent);
-    if (this->status == 0)
+    if (this->answerLines.status == 0)
         return sent == 0 ? AttemptResult::NotSent : AttemptResult::Lost;
     // libcurl takes a connection that closes inside the head for the end of the answer.
-    if (!this->headComplete)
+    if (!this->answerLines.complete)
         return AttemptResult::Lost;
     const AnswerHead &answer = this->readHead();
     if (this->isRefusal())
@@ -542,8 +536,8 @@
     if (this->wrongStart)
         return AttemptResult::InvalidResponse;
     if (this->attempt.resumeAfter > 0 && !answer.streamed)
-        return this->status >= SERVER_ERROR ? AttemptResult::ServerError
-                                            : AttemptResult::InvalidResponse;
+        return this->answerLines.status >= SERVER_ERROR ? AttemptResult::ServerError
+                                                        : AttemptResult::InvalidResponse;
     if (code == CURLE_WRITE_ERROR && this->sawEndMarker)
         return AttemptResult::Answered;
     if (code != CURLE_OK)
@@ -551,10 +545,12 @@
     if (this->edge.completionRule == CompletionRule::HttpFraming) {
         // Without length and chunks, only the end of an event tells a complete stream from a broken
         // one.
-        const bool brokenOff = answer.streamed && !this->framed && !this->body.empty();
+        const bool brokenOff
+            = answer.streamed && !isFramed(this->answerLines.headers) && !this->body.empty();
         return brokenOff ? AttemptResult::Lost : AttemptResult::Answered;
     }
-    const bool complete = answer.streamed ? this->sawEndMarker : this->framed;
+    const bool complete
+        = answer.streamed ? this->sawEndMarker : isFramed(this->answerLines.headers);
     return complete ? AttemptResult::Answered : AttemptResult::Lost;
 }
 
@@ -585,11 +581,11 @@
         ended.result = AttemptResult::Stalled;
     if (cancelled)
         ended.result = AttemptResult::Cancelled;
-    ended.status = this->status;
+    ended.status = this->answerLines.status;
     ended.bound = this->bound;
     ended.eventsRelayed = this->lastRelayedEvent;
     ended.connectionLost = ended.result == AttemptResult::Lost && code != CURLE_OPERATION_TIMEDOUT;
-    const bool failed = this->status >= SERVER_ERROR && this->attempt.holdFailures;
+    const bool failed = this->answerLines.status >= SERVER_ERROR && this->attempt.holdFailures;
     if (ended.result == AttemptResult::Answered && failed)
         ended.result = AttemptResult::ServerError;
     if (ended.result != AttemptResult::Answered)
@@ -601,10 +597,11 @@
     }
     const HeaderList &relayedHeaders = this->readHead().relayedHeaders;
     if (this->attempt.keepAnswer)
-        ended.answer = makeStoredAnswer(this->status, headerValue(relayedHeaders, "Content-Type"),
-                                        this->body);
+        ended.answer = makeStoredAnswer(this->answerLines.status,
+                                        headerValue(relayedHeaders, "Content-Type"), this->body);
     this->held.set(0);
-    this->exchange->begin(this->status, "", relayedHeaders, std::move(this->body), false);
+    this->exchange->begin(this->answerLines.status, "", relayedHeaders, std::move(this->body),
+                          false);
     return ended;
 }
 
@@ -613,7 +610,8 @@
 {
     const bool nothingRelayed = this->lastRelayedEvent == 0 && this->attempt.resumeAfter == 0;
     if (nothingRelayed)
-        this->exchange->begin(this->status, "", this->readHead().relayedHeaders, "", true);
+        this->exchange->begin(this->answerLines.status, "", this->readHead().relayedHeaders, "",
+                              true);
     this->held.set(0);
     if (!this->body.empty())
         this->exchange->append(this->body);
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -3,6 +3,7 @@
 
 #include "net/edge_type.h"
 #include "net/exchange_base.h"
+#include "net/grammar_func.h"
 
 #include <atomic>
 #include <curl/curl.h>
@@ -90,7 +91,7 @@
     /** Called when the connection is established: aborts an attempt that is past its sendBy, else
      * sets the headers with the remaining time. */
     static int beforeSending(void *self, char *, char *, int, int);
-    void parseHeaderLine(std::string line);
+    bool readAnswerLine(std::string_view line);
     bool relay(std::string_view bytes);
     std::size_t endOfMarkedEvent() const;
     std::size_t abortOnBound(ResponseLimit passed);
@@ -118,12 +119,9 @@
     std::size_t uploaded = 0; ///< Bytes of the request's body passed to libcurl.
     TimePoint lastByteAt; ///< Time of the last received bytes; initially the start of the transfer.
     bool receivedAny = false; ///< The target has sent at least one byte.
-    int status = 0; ///< HTTP status code; 0: no answer yet.
-    HeaderList headers; ///< Headers of the target's answer.
+    AnswerLines answerLines; ///< Status line and headers of the target's answer.
     std::optional<AnswerHead> head;
     TimePoint sentAt; ///< Time at which the connection was ready for the request.
-    bool headComplete = false; ///< The empty line after the headers has arrived.
-    bool framed = false; ///< The answer has a Content-Length or Transfer-Encoding header.
     bool wrongStart = false; ///< A resumed stream began with events that were relayed already.
     bool sawEndMarker = false; ///< The stream's end marker was received; later bytes are dropped.
     ResponseLimit bound = ResponseLimit::None; ///< Bound that the answer exceeded.
--- a/src/tests/answer_fault_test.cpp
+++ b/src/tests/answer_fault_test.cpp
@@ -265,6 +265,29 @@
     return {streamHead(protocol) + "Content-Length: 1000\r\n\r\n" + events(1, 2), true};
 }
 
+/** @return Reply to an order that is sent to @p address. */
+std::optional<OrderReply> replyToOrder(const std::string &address)
+{
+    absl::Mutex mutex;
+    std::optional<OrderReply> reply;
+    TargetClient client(
+        std::make_shared<ExchangeTable>(), nativeEdge(), "leader", [](HostEvent &&) {},
+        [&](ControlEvent &&event) {
+            absl::MutexLock lock(&mutex);
+            reply = std::get<OrderReplyEvent>(event).reply;
+        });
+    SendOrder order;
+    order.replica = "t/m:";
+    order.address = address;
+    order.order.variant.model = ModelId("m");
+    order.sendBy = MonotonicClock::now() + WAIT_TIMEOUT;
+    cr_assert(client.sendOrder(order));
+    absl::MutexLock lock(&mutex);
+    const auto replied = [&]() { return reply.has_value(); };
+    mutex.AwaitWithTimeout(absl::Condition(&replied), absl::Microseconds(WAIT_TIMEOUT.count()));
+    return reply;
+}
+
 } // namespace
 
 // Guards against a complete answer with an empty body for a target that stopped in the middle of
@@ -293,24 +316,7 @@
     for (const std::string text :
          {"HTTP/1.1 202 Accepted\r\n", "HTTP/1.1 409 Conflict\r\nX-A: b\r\n"}) {
         ScriptedTarget target({{text, true}});
-        absl::Mutex mutex;
-        std::optional<OrderReply> reply;
-        TargetClient client(
-            std::make_shared<ExchangeTable>(), nativeEdge(), "leader", [](HostEvent &&) {},
-            [&](ControlEvent &&event) {
-                absl::MutexLock lock(&mutex);
-                reply = std::get<OrderReplyEvent>(event).reply;
-            });
-        SendOrder order;
-        order.replica = "t/m:";
-        order.address = target.address;
-        order.order.variant.model = ModelId("m");
-        order.sendBy = MonotonicClock::now() + WAIT_TIMEOUT;
-        cr_assert(client.sendOrder(order));
-        absl::MutexLock lock(&mutex);
-        const auto replied = [&]() { return reply.has_value(); };
-        mutex.AwaitWithTimeout(absl::Condition(&replied), absl::Microseconds(WAIT_TIMEOUT.count()));
-        cr_expect_eq(reply, OrderReply::Unknown, "%s", text.c_str());
+        cr_expect_eq(replyToOrder(target.address), OrderReply::Unknown, "%s", text.c_str());
     }
 }
 
@@ -479,3 +485,149 @@
         close(connection);
     close(listener);
 }
+
+namespace {
+
+/** Lines of a head that make an answer malformed, or leave two readings of its length. */
+std::vector<std::string> malformedAnswerLines()
+{
+    const std::string nul(1, '\0');
+    return {
+        "Content-Length: 4\r\nContent-Length: 2\r\n",
+        "Content-Length: 2\r\nContent-Length: 4\r\n",
+        "Content-Length: 2\r\nContent-Length: 2\r\n",
+        "Content-Length: 0x2\r\n",
+        "Content-Length: +2\r\n",
+        "Content-Length: -2\r\n",
+        "Content-Length: 2, 2\r\n",
+        "Content-Length: 2 2\r\n",
+        "Content-Length:\r\n",
+        "Content-Length: 99999999999999999999\r\n",
+        "Content-Length : 2\r\n",
+        "Content-Length\t: 2\r\n",
+        "Content-Length\v: 2\r\n",
+        "Content-Length:\r\n 2\r\n",
+        " Content-Length: 2\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "Transfer-Encoding : chunked\r\nContent-Length: 2\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: identity\r\nContent-Length: 2\r\n",
+        "X-A: b\rContent-Length: 1\r\nContent-Length: 2\r\n",
+        "X-A: b\nContent-Length: 2\r\n",
+        "X-A: b" + nul + "\r\nContent-Length: 2\r\n",
+        "X-A: b\x01\r\nContent-Length: 2\r\n",
+        "X-A: b\r\n c\r\nContent-Length: 2\r\n",
+        "X(A: b\r\nContent-Length: 2\r\n",
+        "X A: b\r\nContent-Length: 2\r\n",
+        "X-A\r\nContent-Length: 2\r\n",
+        ": b\r\nContent-Length: 2\r\n",
+    };
+}
+
+std::vector<std::string> malformedAnswers(const Interface &protocol)
+{
+    std::vector<std::string> answers;
+    for (const std::string &lines : malformedAnswerLines())
+        answers.push_back("HTTP/1.1 200 OK\r\n" + protocol.identity + lines + "\r\nokok");
+    const std::string good = protocol.identity + "Content-Length: 2\r\n\r\nok";
+    for (const char *line :
+         {"HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1  200 OK", "HTTP/1.2 200 OK",
+          "http/1.1 200 OK", "HTTP/1.1 200OK", "HTTP/1.1 101 Switching Protocols"})
+        answers.push_back(std::string(line) + "\r\n" + good);
+    answers.push_back("HTTP/1.1 204 No Content\r\n" + good);
+    answers.push_back("HTTP/1.0 200 OK\r\n" + protocol.identity
+                      + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    const std::string chunked
+        = "HTTP/1.1 200 OK\r\n" + protocol.identity + "Transfer-Encoding: chunked\r\n\r\n";
+    answers.push_back(chunked + "2\r\nok\r\n0\r\nX-A : b\r\n\r\n");
+    answers.push_back(chunked + "0x2\r\nok\r\n0\r\n\r\n");
+    answers.push_back(chunked + "-2\r\nok\r\n0\r\n\r\n");
+    answers.push_back("HTTP/1.1 200 OK\r\n" + protocol.identity + protocol.identity
+                      + withLength("ok"));
+    return answers;
+}
+
+} // namespace
+
+// Guards against a part of a malformed answer that reaches the caller as a complete one, and
+// against its rest that passes for the answer to the next request.
+Test(answer_fault, a_malformed_answer_is_not_relayed_and_its_connection_not_used_again,
+     .timeout = 120)
+{
+    for (const Interface &protocol : interfaces()) {
+        const std::string good = "HTTP/1.1 200 OK\r\n" + protocol.identity + withLength("ok");
+        for (const std::string &answer : malformedAnswers(protocol)) {
+            ScriptedTarget target({{answer, false}, {good, false}});
+            Caller caller(protocol.edge);
+            const AttemptResult result = caller.send(target.address);
+            cr_expect_neq(result, AttemptResult::Answered, "%s: %s", protocol.name, answer.c_str());
+            cr_expect_neq(result, AttemptResult::Refused, "%s: %s", protocol.name, answer.c_str());
+            cr_expect_neq(result, AttemptResult::NotSent, "%s: %s", protocol.name, answer.c_str());
+            cr_expect_not(caller.answerBegun(), "%s: %s", protocol.name, answer.c_str());
+            cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s: %s",
+                         protocol.name, answer.c_str());
+            cr_expect_eq(target.connections, 2, "%s: %s", protocol.name, answer.c_str());
+        }
+    }
+}
+
+// Guards against a promise not to have run that is read out of a malformed answer.
+Test(answer_fault, a_malformed_refusal_is_no_refusal, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        for (const std::string &lines : malformedAnswerLines()) {
+            const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n" + protocol.identity
+                + protocol.notRun + lines + "\r\nokok";
+            ScriptedTarget target({{refusal, false}});
+            Caller caller(protocol.edge);
+            const AttemptResult result = caller.send(target.address);
+            cr_expect_neq(result, AttemptResult::Refused, "%s: %s", protocol.name, refusal.c_str());
+            cr_expect_neq(result, AttemptResult::NotSent, "%s: %s", protocol.name, refusal.c_str());
+        }
+    }
+}
+
+// Guards against an order that counts as accepted or refused by a malformed answer.
+Test(answer_fault, an_order_with_a_malformed_answer_is_undetermined, .timeout = 60)
+{
+    for (const std::string &lines : malformedAnswerLines()) {
+        ScriptedTarget target({{"HTTP/1.1 409 Conflict\r\n" + lines + "\r\nokok", false}});
+        cr_expect_eq(replyToOrder(target.address), OrderReply::Unknown, "%s", lines.c_str());
+    }
+}
+
+// Guards against a check that refuses well-formed answers.
+Test(answer_fault, well_formed_answers_are_relayed, .timeout = 60)
+{
+    std::string high;
+    for (int byte = 128; byte < 256; ++byte)
+        high += static_cast<char>(byte);
+    for (const Interface &protocol : interfaces()) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + protocol.identity;
+        const std::string chunked = head + "transfer-encoding: \tChunked \r\n\r\n";
+        for (const std::string &answer :
+             {head + withLength("ok"), head + "content-length:002 \t\r\n\r\nok",
+              "HTTP/1.1 200\r\n" + protocol.identity + withLength("ok"),
+              "HTTP/1.1 200 \r\n" + protocol.identity + withLength("ok"),
+              "HTTP/1.0 200 OK\r\n" + protocol.identity + withLength("ok"),
+              "HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n" + head + withLength("ok"),
+              head + "X-A:\r\nX-B: \t\r\n!#$%&'*+-.^_`|~09aZ: b\tc \"(),/:;<=>?@[\\]{}" + high
+                  + "\r\nX-A: d\r\n" + withLength("ok"),
+              chunked + "2\r\nok\r\n0\r\n\r\n",
+              chunked + "1;a=b\r\no\r\n01;c=\"d\"\r\nk\r\n000;e\r\nX-Trailer: f\r\n\r\n"}) {
+            ScriptedTarget target({{answer, false}});
+            Caller caller(protocol.edge);
+            cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s: %s",
+                         protocol.name, answer.c_str());
+            cr_expect_eq(caller.relayed(), "ok", "%s: %s", protocol.name, answer.c_str());
+        }
+        ScriptedTarget target(
+            {{"HTTP/1.1 204 No Content\r\n" + protocol.identity + "Content-Length: 0\r\n\r\n",
+              false},
+             {head + withLength("ok"), false}});
+        Caller caller(protocol.edge);
+        (void)caller.send(target.address);
+        cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s", protocol.name);
+    }
+}
