Fix: [Net] [Platform] A request or order to a target is sent only if what it is built from is well formed

Values in the head of a request to a target also come from elsewhere than from a checked request: the name of an account from the configuration (JSON may hold CR LF in it), the id of a target from its heartbeat. Such a value would have reached the target as further lines of the head, among them headers that are the system's to set. By reading, nobody reported it.

Change: method, target and headers of each attempt and order are checked just before they are sent, so no path to a target can leave it out; a malformed one is not sent (attemptMalformed, orderMalformed).

--- a/src/net/control_transfer.cpp
+++ b/src/net/control_transfer.cpp
@@ -89,6 +89,7 @@
     std::unique_ptr<ControlTransfer> transfer(
         new ControlTransfer(order, absl::StrCat("http://", order.address, encoded.path)));
     transfer->body = std::move(encoded.body);
+    transfer->fault = checkSentRequest("POST", encoded.path, encoded.headers);
     for (const auto &[name, value] : encoded.headers)
         transfer->headers
             = curl_slist_append(transfer->headers, absl::StrCat(name, ": ", value).c_str());
@@ -153,8 +154,12 @@
     const SendOrder &order = std::get<SendOrder>(transfer.call);
     const TimePoint now = MonotonicClock::now();
     transfer.pastSendBy = now >= order.sendBy;
-    logOrder(transfer.pastSendBy ? "orderHeldBack" : "orderSent", order, now);
-    return transfer.pastSendBy ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    if (transfer.fault)
+        recordGrammarFault("orderMalformed", *transfer.fault, {{"replica", order.replica}},
+                           WallClock::unixSeconds());
+    const bool held = transfer.pastSendBy || transfer.fault;
+    logOrder(held ? "orderHeldBack" : "orderSent", order, now);
+    return held ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 /** @return Outcome of an order, derived from its answer; Unknown if the target may have accepted
@@ -164,7 +169,7 @@
     long sent = 0;
     curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &sent);
     const bool nothingSent = code != CURLE_OK && sent == 0;
-    if (this->pastSendBy || (nothingSent && code == CURLE_OPERATION_TIMEDOUT))
+    if (this->pastSendBy || this->fault || (nothingSent && code == CURLE_OPERATION_TIMEDOUT))
         return OrderReply::Unsent;
     if (nothingSent)
         return OrderReply::Refused;
--- a/src/net/control_transfer_base.h
+++ b/src/net/control_transfer_base.h
@@ -50,6 +50,7 @@
     CURL *easy;
     curl_slist *headers = nullptr;
     bool pastSendBy = false; ///< Not sent: connected only after the order's sendBy.
+    std::optional<GrammarFault> fault; ///< Of the order's head; such an order is not sent.
 };
 
 /** Logs @p event about an order, with the order's age at @p now. */
--- a/src/net/grammar.cpp
+++ b/src/net/grammar.cpp
@@ -248,6 +248,13 @@
     return std::nullopt;
 }
 
+std::optional<GrammarFault> checkSentRequest(std::string_view method, std::string_view target,
+                                             const HeaderList &headers)
+{
+    std::optional<GrammarFault> fault = checkRequestLine(method, target, VERSION_1_1);
+    return fault ? fault : checkFields(headers);
+}
+
 std::optional<GrammarFault> addAnswerLine(AnswerLines &lines, std::string_view line)
 {
     const std::string last = lines.headers.empty() ? "" : lines.headers.back().first;
--- a/src/net/grammar_func.h
+++ b/src/net/grammar_func.h
@@ -52,6 +52,13 @@
 std::optional<GrammarFault> checkConnectionOptions(const HeaderList &headers,
                                                    bool (*isEndToEnd)(std::string_view name));
 
+/**
+ * Checks a request that is about to be sent, without the fields that libcurl adds. Values that come
+ * from elsewhere than from a checked message, such as a configuration, can break it.
+ */
+std::optional<GrammarFault> checkSentRequest(std::string_view method, std::string_view target,
+                                             const HeaderList &headers);
+
 /** State of the check of an answer's head, interim (1xx) heads and trailer, line by line. */
 struct AnswerLines
 {
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -194,9 +194,17 @@
     }
     StartAttempt sending = transfer.attempt;
     sending.remaining = sending.deadline - now;
+    const ForwardedRequest &forwarded = transfer.exchange->forwarded;
+    const HeaderList headers = transfer.edge.attemptHeaders(forwarded, sending);
+    if (const std::optional<GrammarFault> fault
+        = checkSentRequest(forwarded.method, forwarded.path, headers)) {
+        recordGrammarFault("attemptMalformed", *fault,
+                           {{"attempt", sending.attempt}, {"target", sending.target}},
+                           WallClock::unixSeconds());
+        return CURL_PREREQFUNC_ABORT;
+    }
     curl_slist_free_all(transfer.requestHeaders);
-    transfer.requestHeaders
-        = makeHeaders(transfer.edge.attemptHeaders(transfer.exchange->forwarded, sending));
+    transfer.requestHeaders = makeHeaders(headers);
     curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, transfer.requestHeaders);
     transfer.sentAt = now;
     return CURL_PREREQFUNC_OK;
--- a/src/tests/answer_fault_test.cpp
+++ b/src/tests/answer_fault_test.cpp
@@ -59,6 +59,7 @@
     std::string address;
     std::atomic<int> connections{0};
     std::atomic<std::size_t> requests{0};
+    std::atomic<std::size_t> receivedBytes{0};
 
 private:
     void run()
@@ -87,6 +88,7 @@
         const ssize_t size
             = connection.fd < 0 ? -1 : recv(connection.fd, buffer, sizeof(buffer), MSG_DONTWAIT);
         got.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+        this->receivedBytes += static_cast<std::size_t>(std::max<ssize_t>(size, 0));
         if (size == 0)
             connection.events = 0;
         if (got.find("\r\n\r\n") == std::string::npos || this->requests >= this->script.size())
@@ -266,12 +268,13 @@
 }
 
 /** @return Reply to an order that is sent to @p address. */
-std::optional<OrderReply> replyToOrder(const std::string &address)
+std::optional<OrderReply> replyToOrder(const std::string &address, const Edge &edge = nativeEdge(),
+                                       TargetId id = TargetId("t"))
 {
     absl::Mutex mutex;
     std::optional<OrderReply> reply;
     TargetClient client(
-        std::make_shared<ExchangeTable>(), nativeEdge(), "leader", [](HostEvent &&) {},
+        std::make_shared<ExchangeTable>(), edge, "leader", [](HostEvent &&) {},
         [&](ControlEvent &&event) {
             absl::MutexLock lock(&mutex);
             reply = std::get<OrderReplyEvent>(event).reply;
@@ -280,6 +283,7 @@
     order.replica = "t/m:";
     order.address = address;
     order.order.variant.model = ModelId("m");
+    order.order.target = std::move(id);
     order.sendBy = MonotonicClock::now() + WAIT_TIMEOUT;
     cr_assert(client.sendOrder(order));
     absl::MutexLock lock(&mutex);
@@ -631,3 +635,40 @@
         cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s", protocol.name);
     }
 }
+
+// Guards against a value from elsewhere than a checked request, such as the name of an account,
+// that reaches a target as further lines of the head.
+Test(answer_fault, a_malformed_request_is_not_sent, .timeout = 60)
+{
+    const std::vector<std::pair<std::string, std::string>> headers{
+        {"X-A", "b\r\nX-Bilberrybend-Hold: 1"},
+        {"X-A", std::string("b\0c", 3)},
+        {"X-A", "b\n"},
+        {"X-A: b\r\nX-B", "c"},
+        {"X A", "b"},
+        {"", "b"}};
+    for (const auto &header : headers) {
+        ScriptedTarget target({});
+        Caller caller(platformEdge());
+        caller.exchange->forwarded.headers.push_back(header);
+        cr_expect_eq(caller.send(target.address), AttemptResult::NotSent, "%s",
+                     header.first.c_str());
+        cr_expect_eq(target.receivedBytes, 0, "%s", header.first.c_str());
+    }
+    for (const std::string path : {"/a b", "/a\r\nX-A: b", "a", "/a#b", ""}) {
+        ScriptedTarget target({});
+        Caller caller(platformEdge());
+        caller.exchange->forwarded.path = path;
+        cr_expect_eq(caller.send(target.address), AttemptResult::NotSent, "%s", path.c_str());
+        cr_expect_eq(target.receivedBytes, 0, "%s", path.c_str());
+    }
+}
+
+// Guards against an order whose target's id reaches the target as further lines of the head.
+Test(answer_fault, a_malformed_order_is_not_sent, .timeout = 60)
+{
+    ScriptedTarget target({});
+    cr_expect_eq(replyToOrder(target.address, platformEdge(), TargetId("t\r\nX-A: b")),
+                 OrderReply::Unsent);
+    cr_expect_eq(target.receivedBytes, 0);
+}
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -242,6 +242,10 @@
     cr_assert_not(isValid(configWith("\"weight\":90", "\"weight\":-10")));
     cr_assert_not(isValid(configWith("\"timeoutMs\":15000", "\"timeoutMs\":0")));
     cr_assert_not(isValid(configWith("\"version\":7", "\"version\":\"7\"")));
+    // Guards against lines of a name that reach targets as headers.
+    for (const std::string name : {"t\\r\\nX-Bilberrybend-Hold: 1", "t\\u0000", " t", "t\\t"})
+        cr_assert_not(isValid(configWith("\"name\":\"t\"", "\"name\":\"" + name + "\"")));
+    cr_assert(isValid(configWith("\"name\":\"t\"", "\"name\":\"t \u00e9\"")));
     cr_assert_not(
         isValid(configWith("\"tenants\":[", R"("tenants":[{"name":"u","apiKeys":["k1"]},)")));
     cr_assert_not(isValid(
