--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -164,6 +164,14 @@
         return absl::StrCat(target, " refused the request without running it");
     if (result == "cancelled")
         return "the caller disconnected, or another attempt had answered";
+    const LogLine *malformed = latest(lines, 0, end.unixMs, [&](const LogLine &line) {
+        return line.event == "answerMalformed" && line.host == end.host
+            && stringField(line, "attempt") == stringField(end, "attempt");
+    });
+    if (malformed != nullptr)
+        return absl::StrCat("the answer of ", target, " was malformed by the rule ",
+                            stringField(*malformed, "rule"), " at the field ",
+                            stringField(*malformed, "field"), ", so the request may have run");
     return absl::StrCat("the attempt on ", target, " was ", result, " after ",
                         integerField(end, "events"), " events; ",
                         describeTargetLoss(lines, target, end));
@@ -185,6 +193,15 @@
                         " would have come too late: ", by);
 }
 
+/** @return Rule of HTTP's grammar that the request broke, and at which field. */
+std::string causeOfMalformed(const LogLine &line)
+{
+    const std::string field = stringField(line, "field");
+    return absl::StrCat(
+        line.host, " refused the request, and closed its connection, as malformed by the rule ",
+        stringField(line, "rule"), field.empty() ? "" : absl::StrCat(" at the field ", field));
+}
+
 std::string causeOfRefusal(const std::vector<LogLine> &lines, const LogLine &end)
 {
     const std::string type = stringField(end, "type");
@@ -274,7 +291,9 @@
     const LogLine &decisive = uncertain ? *failed : end;
     const bool answered
         = stringField(decisive, "result") == "answered" && stringField(decisive, "status") == "200";
-    if (decisive.event == "requestRefused")
+    if (decisive.event == "requestMalformed")
+        out.cause = causeOfMalformed(decisive);
+    else if (decisive.event == "requestRefused")
         out.cause = causeOfRefusal(lines, decisive);
     else if (decisive.event == "attemptEnded" && !answered)
         out.cause = causeOfAttempt(lines, decisive,
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -34,6 +34,12 @@
 26.0 core-2 {"event":"targetRateChanged","target":"t3","from":1.5,"to":null,"by":"front-1","host":"core-2","unixMs":26000}
 27.0 front-1 {"event":"attemptStarted","attempt":9,"target":"t4","tag":"served","host":"front-1","unixMs":27000}
 27.2 front-1 {"event":"attemptEnded","attempt":9,"result":"answered","status":200,"connectionLost":false,"host":"front-1","unixMs":27200}
+28.0 front-1 {"event":"requestMalformed","rule":"fieldName","field":"Content-Length","tag":"spaced","host":"front-1","unixMs":28000}
+28.1 front-2 {"event":"requestMalformed","rule":"startLine","field":"","tag":"line","host":"front-2","unixMs":28100}
+28.5 front-2 {"event":"attemptStarted","attempt":11,"target":"t5","tag":"two-lengths","host":"front-2","unixMs":28500}
+28.6 front-2 {"event":"answerMalformed","attempt":11,"target":"t5","rule":"framing","field":"Content-Length","host":"front-2","unixMs":28600}
+28.6 front-2 {"event":"attemptEnded","attempt":11,"result":"invalid","events":0,"status":200,"host":"front-2","unixMs":28600}
+28.6 front-2 {"event":"requestRefused","type":"may_have_run","tag":"two-lengths","freshMs":900,"host":"front-2","unixMs":28601}
 30.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"over","freshMs":900,"host":"front-1","unixMs":30000}
 30.1 front-2 {"event":"requestRefused","type":"token_rate_limited","tag":"over2","freshMs":900,"host":"front-2","unixMs":30100}
 )";
@@ -74,6 +80,17 @@
     cr_assert(explainRequest(recorded(), "unknown").cause.empty());
 }
 
+// Guards against a malformed message whose fault no one can tell afterwards.
+Test(explain, malformed_message_names_the_rule_and_the_field)
+{
+    checkCause("spaced", 1, "front-1 refused the request, and closed its connection, as malformed");
+    checkCause("spaced", 1, "by the rule fieldName at the field Content-Length");
+    checkCause("line", 1, "by the rule startLine");
+    checkCause("two-lengths", 3,
+               "the answer of t5 was malformed by the rule framing at the field "
+               "Content-Length, so the request may have run");
+}
+
 Test(explain, answered_attempt_names_its_target)
 {
     checkCause("served", 2, "the answer of t4 was forwarded completely");
