--- a/src/tests/malformed_request_test.cpp
+++ b/src/tests/malformed_request_test.cpp
@@ -159,6 +159,22 @@
     }
 }
 
+// Guards against chunks that a strict reader does not take for such.
+Test(malformed_request, lines_of_chunks_end_with_cr_lf, .timeout = 60)
+{
+    Front front(platformEdge());
+    for (const std::string body :
+         {"5\nhello\r\n0\r\n\r\n", "5\r\nhello\n0\r\n\r\n", "5\r\nhello\r\n0\n\r\n",
+          "5;a\nhello\r\n0\r\n\r\n", "5;a\rb\r\nhello\r\n0\r\n\r\n"}) {
+        RawConnection connection(front.port());
+        connection.send(beginHead("outer") + "Transfer-Encoding: chunked\r\n\r\n" + body);
+        connection.endSending();
+        connection.read(0, 2s);
+        checkRefused({body, ""}, connection, 0);
+    }
+    cr_expect(front.target.take().empty());
+}
+
 namespace {
 
 /** Well-formed request, and the lines that the target gets besides those of every request. */
