Fix: [Net] The end of a stream that its caller reads late is not dropped

What callers saw: a stream without its last bytes that ended as complete. Cause: Transfer::finishStream gave what followed the last complete event to Exchange::append(), which takes nothing if the buffer is full, and then ended the stream whole; answerRefusal did the same with the error that ends a stream. Now the last bytes, at most one incomplete event, go in with the end, beyond the bound. Evidence: answer_fault/a_stream_that_its_caller_reads_late_keeps_its_end failed before (1,000,140 of 1,100,146 bytes) and passes.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -47,11 +47,15 @@
     return true;
 }
 
-void Exchange::end(bool broken)
+void Exchange::end(bool broken, std::string_view rest)
 {
     absl::MutexLock lock(&this->mutex);
     if (this->ended)
         return;
+    if (!this->closed) {
+        this->buffer.append(rest);
+        this->held.set(this->buffer.size());
+    }
     this->ended = true;
     this->broken = broken;
     this->resumeCallerLocked();
@@ -105,10 +109,7 @@
     if (exchange.begin(answer.status, std::move(answer.contentType), std::move(answer.headers),
                        std::move(answer.body), false))
         return;
-    const std::string error = edge.encodeStreamError(refusal);
-    if (!error.empty())
-        exchange.append(error);
-    exchange.end(true);
+    exchange.end(true, edge.encodeStreamError(refusal));
 }
 
 bool equalHeaderNames(std::string_view a, std::string_view b)
--- a/src/net/exchange_base.h
+++ b/src/net/exchange_base.h
@@ -58,9 +58,11 @@
 
     /**
      * Ends a streamed answer.
+     * @param rest Last bytes of the answer, which a full buffer takes as well: nothing comes behind
+     * them. At most one incomplete event.
      * @param broken The answer is truncated: the caller's connection is aborted.
      */
-    void end(bool broken);
+    void end(bool broken, std::string_view rest = {});
 
     /** Marks the caller as disconnected; from then on begin() and append() do nothing. */
     void close();
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -621,9 +621,7 @@
         this->exchange->begin(this->answerLines.status, "", this->readHead().relayedHeaders, "",
                               true);
     this->held.set(0);
-    if (!this->body.empty())
-        this->exchange->append(this->body);
-    this->exchange->end(false);
+    this->exchange->end(false, this->body);
 }
 
 } // namespace bilberry
--- a/src/tests/answer_fault_test.cpp
+++ b/src/tests/answer_fault_test.cpp
@@ -672,3 +672,20 @@
                  OrderReply::Unsent);
     cr_expect_eq(target.receivedBytes, 0);
 }
+
+// Guards against a stream whose last bytes are dropped, as the caller's buffer is full, and that
+// ends as complete.
+Test(answer_fault, a_stream_that_its_caller_reads_late_keeps_its_end, .timeout = 60)
+{
+    const Interface protocol = interfaces()[1];
+    const std::string event = "id: 1\ndata: " + std::string(100'000, 'x') + "\n\n";
+    std::string body;
+    while (body.size() + event.size() < Exchange::MAX_BUFFERED_BYTES)
+        body += event;
+    body += "data: " + std::string(100'000, 'y');
+    ScriptedTarget target({{streamHead(protocol) + withLength(body), false}});
+    Caller caller(protocol.edge);
+    cr_assert_eq(caller.send(target.address), AttemptResult::Answered);
+    cr_expect(caller.answerEnded());
+    cr_expect(caller.relayed() == body, "%zu of %zu bytes", caller.relayed().size(), body.size());
+}
