--- a/src/tests/calm_cost_test.cpp
+++ b/src/tests/calm_cost_test.cpp
@@ -2,6 +2,7 @@
  * what was ever used. */
 #include "account/leased_pool_func.h"
 #include "replay/decision_simulation_base.h"
+#include "service_folder.h"
 
 #include <algorithm>
 #include <utility>
@@ -29,7 +30,7 @@
 
 FolderConfig makeFolder()
 {
-    FolderConfig folder;
+    FolderConfig folder = makeServiceFolder();
     for (int i = 0; i < ACCOUNTS; ++i) {
         Account account;
         account.id = accountName(i);
@@ -39,14 +40,6 @@
         account.tokensOfPlainCall = 200;
         folder.accounts[account.id] = account;
     }
-    Route route;
-    route.id = RouteId("s");
-    route.path = "/s";
-    route.service = "s";
-    folder.routes[route.id] = route;
-    ServicePolicy policy;
-    policy.ramps = false;
-    folder.services["s"] = policy;
     return folder;
 }
 
--- a/src/tests/election_test.cpp
+++ b/src/tests/election_test.cpp
@@ -1,5 +1,6 @@
 /** @file election_test.cpp Changes of the leader cost callers within their rates nothing. */
 #include "replay/decision_simulation_base.h"
+#include "service_folder.h"
 
 #include <algorithm>
 #include <random>
@@ -27,7 +28,7 @@
 
 FolderConfig makeFolder()
 {
-    FolderConfig folder;
+    FolderConfig folder = makeServiceFolder();
     for (int i = 0; i < ACCOUNTS; ++i) {
         Account account;
         account.id = AccountId("a" + std::to_string(i));
@@ -37,14 +38,6 @@
         account.tokenBurst = TOKEN_BURST;
         folder.accounts[account.id] = account;
     }
-    Route route;
-    route.id = RouteId("s");
-    route.path = "/s";
-    route.service = "s";
-    folder.routes[route.id] = route;
-    ServicePolicy policy;
-    policy.ramps = false;
-    folder.services["s"] = policy;
     return folder;
 }
 
--- a/src/tests/retry_after_test.cpp
+++ b/src/tests/retry_after_test.cpp
@@ -1,6 +1,7 @@
 /** @file retry_after_test.cpp Callers of an account over its rate come back when they were told to.
  */
 #include "replay/decision_simulation_base.h"
+#include "service_folder.h"
 
 #include <algorithm>
 #include <random>
@@ -30,7 +31,7 @@
 
 FolderConfig makeFolder()
 {
-    FolderConfig folder;
+    FolderConfig folder = makeServiceFolder();
     Account account;
     account.id = ACCOUNT;
     account.limitsRequests = false;
@@ -38,14 +39,6 @@
     account.tokensPerSecond = TOKENS_PER_SECOND;
     account.tokenBurst = TOKEN_BURST;
     folder.accounts[account.id] = account;
-    Route route;
-    route.id = RouteId("s");
-    route.path = "/s";
-    route.service = "s";
-    folder.routes[route.id] = route;
-    ServicePolicy policy;
-    policy.ramps = false;
-    folder.services["s"] = policy;
     return folder;
 }
 
--- a/src/tests/slots_election_test.cpp
+++ b/src/tests/slots_election_test.cpp
@@ -1,5 +1,6 @@
 /** @file slots_election_test.cpp Changes of the leader keep no calls from free slots for long. */
 #include "replay/decision_simulation_base.h"
+#include "service_folder.h"
 
 #include <algorithm>
 #include <random>
@@ -34,7 +35,7 @@
 
 FolderConfig makeFolder()
 {
-    FolderConfig folder;
+    FolderConfig folder = makeServiceFolder();
     for (int i = 0; i < ACCOUNTS; ++i) {
         Account account;
         account.id = AccountId("a" + std::to_string(i));
@@ -43,14 +44,6 @@
         account.tokensPerSecond = account.tokenBurst = TOKENS_PER_SECOND;
         folder.accounts[account.id] = account;
     }
-    Route route;
-    route.id = RouteId("s");
-    route.path = "/s";
-    route.service = "s";
-    folder.routes[route.id] = route;
-    ServicePolicy policy;
-    policy.ramps = false;
-    folder.services["s"] = policy;
     return folder;
 }
 
--- a/src/tests/target_rate_test.cpp
+++ b/src/tests/target_rate_test.cpp
@@ -1,6 +1,7 @@
 /** @file target_rate_test.cpp Targets that state how many requests a second they take from all
  * hosts together. */
 #include "replay/decision_simulation_base.h"
+#include "service_folder.h"
 #include "target/statement_func.h"
 
 #include <algorithm>
@@ -40,19 +41,11 @@
 
 FolderConfig makeFolder()
 {
-    FolderConfig folder;
+    FolderConfig folder = makeServiceFolder();
     Account account;
     account.id = AccountId("a");
     account.limitsRequests = account.limitsTokens = false;
     folder.accounts[account.id] = account;
-    Route route;
-    route.id = RouteId("s");
-    route.path = "/s";
-    route.service = "s";
-    folder.routes[route.id] = route;
-    ServicePolicy policy;
-    policy.ramps = false;
-    folder.services["s"] = policy;
     return folder;
 }
 
