Fix: [State] [Control] [Host] [Net] [Daemon] [Platform] An order without an answer changes nothing after a newer one

What callers saw: an operator ended an evacuation at a daemon that was cut off from the leader, got 503 after 0.9 s, got the same order and then the next evacuation acknowledged elsewhere; seconds later requests reached the evacuated zone again. Cause: a change of a zone, key or target carried nothing that orders it among others, so whatever still waited of it was carried out as if it were new. Fix: the leader is first asked which version the record has; then the host looks whether the operator still waits (its connection, and its deadline, counted from the arrival of the last byte as the kernel knows it); then the change is sent with that version, and the replicated state takes it only if it is still the present one. Each change with an outcome gets a version of its own, also if it leaves the content as it was. What the operator has had acknowledged after it stopped waiting is therefore newer than the version, wherever the order waits: host, stream, TCP, inbox, log of a deposed leader. A host that is refused for a newer change asks anew while its operator waits. Orders that reach their deadline leave the host (before: never, so it grew). Logs without a version are applied as before. A host of this release asks by a dry run, which an older leader answers without changing anything.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -3,6 +3,7 @@
 #include "control/control_internal.h"
 #include "control/leadership_end_func.h"
 
+#include "state/change_func.h"
 #include "state/cluster_func.h"
 #include "state/view_func.h"
 #include "stream/stream_func.h"
@@ -88,6 +89,25 @@
                                             leadership.registry.version}});
 }
 
+/** Logs a change that was refused since a newer change of the same record had been accepted. */
+void logIfOvertaken(const PendingCommand &pending, const Command &command,
+                    const CommandOutcome &outcome, ControlEffects &effects)
+{
+    if (!pending.base || outcome.error != Errc::VersionConflict)
+        return;
+    std::visit(
+        [&](const auto &body) {
+            if constexpr (ChangesRecord<std::decay_t<decltype(body)>>)
+                effects.logEvents.push_back({"changeOvertaken",
+                                             {{"changeId", body.changeId},
+                                              {"record", recordOf(body).id},
+                                              {"base", *pending.base},
+                                              {"present", outcome.version},
+                                              {"by", pending.holder.host}}});
+        },
+        command.body);
+}
+
 void answerPending(Control &control, const PendingCommand &pending, const Command &command,
                    const CommandOutcome &outcome, ControlEffects &effects)
 {
@@ -111,6 +131,7 @@
         adoptLending(control, std::get<RecordLending>(command.body), effects);
         return;
     case PendingCommand::Kind::Operator:
+        logIfOvertaken(pending, command, outcome, effects);
         effects.toHosts.push_back(
             {pending.holder,
              OperatorAnswer{pending.operatorCallId,
@@ -416,7 +437,7 @@
     if (!control.leadership || !isActiveLeader(control.replica, now))
         return Errc::NotLeader;
     LogIndex index = 0;
-    const Command command{clusterTime(control, now), std::move(body)};
+    const Command command{clusterTime(control, now), std::move(body), pending.base};
     Result<ReplicaEffects> proposed = propose(control.replica, encode(command), index, now);
     if (!proposed)
         return proposed.error();
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -142,6 +142,7 @@
     HolderId holder;
     RequestId request; ///< Only for CallBegin, CallEnd and Stream.
     std::uint64_t operatorCallId = 0; ///< OperatorCall::id; only for Operator.
+    std::optional<Version> base{}; ///< OperatorCall::base; only for Operator.
 };
 
 /** Targets that were lost while they ran requests with one digest. */
--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -1,6 +1,7 @@
 /** @file operator_cmd.cpp Handles operators' requests to the leader. */
 #include "control/control_internal.h"
 
+#include "state/change_func.h"
 #include "state/cluster_func.h"
 
 #include <limits>
@@ -34,6 +35,7 @@
     pending.kind = PendingCommand::Kind::Operator;
     pending.holder = call.holder;
     pending.operatorCallId = call.id;
+    pending.base = call.base;
     if (!proposeCommand(control, std::move(body), pending, effects, now))
         effects.toHosts.push_back({call.holder, NotLeader{leaderAddress(control)}});
 }
@@ -54,6 +56,15 @@
     return shutdown;
 }
 
+/** @return What a change of the body's kind is to be based on; a stale answer is refused later. */
+template <class Body> ChangeBase baseOf(const Control &control, const Body &body)
+{
+    if constexpr (ChangesRecord<Body>)
+        return {changeVersion(control.cluster, recordOf(body)), {}};
+    else
+        return {};
+}
+
 /**
  * Adds the new member as a learner; continueMemberChange() makes it a voter in place of the removed
  * member once it has caught up. Removes a member at once if none is added.
@@ -185,7 +196,9 @@
     std::visit(
         [&](const auto &body) {
             using Body = std::decay_t<decltype(body)>;
-            if constexpr (std::is_same_v<Body, StatusQuery>)
+            if (call.asksForBase)
+                answer(call, Errc::Ok, baseOf(control, body), effects);
+            else if constexpr (std::is_same_v<Body, StatusQuery>)
                 answer(call, Errc::Ok, body.full ? dump(control, now) : makeStatus(control, now),
                        effects);
             else if constexpr (std::is_same_v<Body, ConfigQuery>)
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -74,6 +74,11 @@
     appendCounter(out, "target_statements_total", "kind", "requestRate", counters.rateStated);
     appendCounter(out, "requests_held_by_rate_total", "", "", counters.heldByRate);
     appendCounter(out, "attempts_called_back_total", "", "", counters.calledBack);
+    appendCounter(out, "operator_requests_dropped_total", "why", "expired",
+                  counters.changesExpired);
+    appendCounter(out, "operator_requests_dropped_total", "why", "operatorGone",
+                  counters.changesAbandoned);
+    appendCounter(out, "changes_overtaken_total", "", "", counters.changesOvertaken);
     for (const auto &[type, count] : counters.refusals)
         appendCounter(out, "refusals_total", "type", type, count);
     for (const auto &[result, count] : counters.attempts)
@@ -207,9 +212,10 @@
     }) + formatGrammarFaults();
 }
 
-OperatorAnswer HostRunner::callLeader(OperatorBody body, bool dryRun, Duration timeout)
+OperatorAnswer HostRunner::callLeader(LeaderCall call)
 {
     auto pending = std::make_shared<PendingOperator>();
+    pending->operatorWaits = std::move(call.operatorWaits);
     std::uint64_t id = 0;
     {
         absl::MutexLock lock(&this->operatorMutex);
@@ -218,8 +224,10 @@
     }
     OperatorAnswer answer;
     answer.error = Errc::Timeout;
-    const bool posted = this->post(OperatorRequest{id, dryRun, std::move(body)});
-    if (posted && pending->done.WaitForNotificationWithTimeout(absl::Microseconds(timeout.count())))
+    const bool posted
+        = this->post(OperatorRequest{id, call.dryRun, std::move(call.body), call.deadline});
+    const Duration wait = std::max(call.deadline - MonotonicClock::now(), Duration::zero());
+    if (posted && pending->done.WaitForNotificationWithTimeout(absl::Microseconds(wait.count())))
         answer = pending->answer;
     absl::MutexLock lock(&this->operatorMutex);
     this->pendingOperators.erase(id);
@@ -369,6 +377,14 @@
             if (request != this->host.requests.end() && request->second.heldByRate)
                 line["heldByRate"] = true;
             logEventRateLimited("attemptStarted", std::move(line));
+        } else if (const auto *ended = std::get_if<AnswerOperator>(&effect)) {
+            if (ended->end != OperatorEnd::Answered)
+                logEventRateLimited("operatorRequestDropped",
+                                    {{"why", ended->end},
+                                     {"request", ended->request},
+                                     {"changeId", ended->changeId},
+                                     {"base", ended->base},
+                                     {"ageMs", toMilliseconds(ended->age)}});
         }
     }
 }
@@ -394,18 +410,33 @@
         this->link->send(message->message);
     } else if (const auto *change = std::get_if<SwitchControlHost>(&effect)) {
         this->connectTo(change->address, change->known);
+    } else if (const auto *check = std::get_if<CheckOperator>(&effect)) {
+        this->handle(OperatorPresence{check->id, this->operatorWaits(check->id)});
     } else {
-        const OperatorAnswer &answer = std::get<AnswerOperator>(effect).answer;
-        absl::MutexLock lock(&this->operatorMutex);
-        const auto it = this->pendingOperators.find(answer.id);
-        if (it != this->pendingOperators.end()) {
-            it->second->answer = answer;
-            it->second->done.Notify();
-            this->pendingOperators.erase(it);
-        }
+        this->answerOperator(std::get<AnswerOperator>(effect).answer);
     }
 }
 
+bool HostRunner::operatorWaits(std::uint64_t request)
+{
+    absl::MutexLock lock(&this->operatorMutex);
+    const auto pending = this->pendingOperators.find(request);
+    if (pending == this->pendingOperators.end())
+        return false;
+    return !pending->second->operatorWaits || pending->second->operatorWaits();
+}
+
+void HostRunner::answerOperator(const OperatorAnswer &answer)
+{
+    absl::MutexLock lock(&this->operatorMutex);
+    const auto pending = this->pendingOperators.find(answer.id);
+    if (pending == this->pendingOperators.end())
+        return;
+    pending->second->answer = answer;
+    pending->second->done.Notify();
+    this->pendingOperators.erase(pending);
+}
+
 void HostRunner::startAttempt(const StartAttempt &attempt)
 {
     if (this->targets->start(attempt))
--- a/src/daemon/host_runner_base.h
+++ b/src/daemon/host_runner_base.h
@@ -4,6 +4,7 @@
 
 #include "config/settings_type.h"
 #include "core/bounded_queue.h"
+#include "daemon/leader_call_type.h"
 #include "host/host_func.h"
 #include "net/caller_server_base.h"
 #include "net/peer_client_base.h"
@@ -48,12 +49,10 @@
 
     /**
      * Forwards an operator's request to the leader of the control group and waits for the answer.
-     * @param body Request of the operator.
-     * @param dryRun Whether the leader only checks the change and does not apply it.
-     * @param timeout Maximum wait for the answer.
-     * @return The leader's answer; with Errc::Timeout if none arrived or the queue is full.
+     * @return The leader's answer; with Errc::Timeout if none arrived, the operator has gone or the
+     *         queue is full. A change that got no answer is not made after a newer one.
      */
-    OperatorAnswer callLeader(OperatorBody body, bool dryRun, Duration timeout);
+    OperatorAnswer callLeader(LeaderCall call);
 
     /**
      * Waits up to 5 s for the decision thread.
@@ -95,6 +94,7 @@
     /** An operator's request that waits for the leader's answer. */
     struct PendingOperator
     {
+        std::function<bool()> operatorWaits; ///< LeaderCall::operatorWaits.
         absl::Notification done;
         OperatorAnswer answer;
     };
@@ -123,6 +123,9 @@
     void connectTo(std::string address, const std::vector<std::string> &known);
     std::string nextControlAddress();
     void startAttempt(const StartAttempt &attempt);
+    /** @return Whether the operator of a request still waits for the answer. */
+    bool operatorWaits(std::uint64_t request);
+    void answerOperator(const OperatorAnswer &answer);
     /**
      * Calls @p read on the decision thread and waits up to 5 s for its result.
      * @return The result; T{} if the queue is full or on a timeout.
--- a/src/daemon/operators_port.cpp
+++ b/src/daemon/operators_port.cpp
@@ -50,19 +50,19 @@
     return jsonReply(out);
 }
 
-HttpReply callLeader(const DaemonRoles &roles, const std::string &body)
+HttpReply callLeader(const DaemonRoles &roles, const HttpRequest &request)
 {
-    const nlohmann::json request = nlohmann::json::parse(body, nullptr, false);
-    if (!request.is_object() || !request.contains("body"))
+    const nlohmann::json content = nlohmann::json::parse(request.body, nullptr, false);
+    if (!content.is_object() || !content.contains("body"))
         return errorReply(400, "malformed_request");
-    OperatorBody parsed;
+    LeaderCall call{{}, request.arrivedAt + OPERATOR_TIMEOUT, request.callerWaits};
+    call.dryRun = content.value("dryRun", false);
     try {
-        parsed = request["body"].get<OperatorBody>();
+        call.body = content["body"].get<OperatorBody>();
     } catch (const nlohmann::json::exception &) {
         return errorReply(400, "malformed_request");
     }
-    const OperatorAnswer answer = roles.host->callLeader(
-        std::move(parsed), request.value("dryRun", false), OPERATOR_TIMEOUT);
+    const OperatorAnswer answer = roles.host->callLeader(std::move(call));
     return jsonReply({{"error", make_error_code(answer.error).message()},
                       {"code", answer.error},
                       {"body", answer.body}});
@@ -73,7 +73,7 @@
 HttpReply answerOperator(const DaemonRoles &roles, const HttpRequest &request)
 {
     if (request.method == "POST" && request.path == "/operator")
-        return callLeader(roles, request.body);
+        return callLeader(roles, request);
     if (request.method != "GET")
         return errorReply(405, "method");
     if (request.path == "/healthz")
@@ -118,7 +118,11 @@
     if (!roles.host->post(std::move(event)))
         return errorReply(503, "overloaded");
     // The acknowledgement promises that no host sends new requests from then on.
-    if (leaving && roles.host->callLeader(shutdown, false, TARGET_CALL_TIMEOUT).error != Errc::Ok)
+    if (!leaving)
+        return jsonReply({{"ok", true}});
+    const OperatorAnswer recorded = roles.host->callLeader(
+        {shutdown, request.arrivedAt + TARGET_CALL_TIMEOUT, request.callerWaits});
+    if (recorded.error != Errc::Ok)
         return errorReply(503, "no_leader");
     return jsonReply({{"ok", true}});
 }
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -43,23 +43,6 @@
     host.earlyReportRequested = true;
 }
 
-/** Names the incarnation that shuts down, if the target did not and this host knows it. */
-void resolveShutdown(const Host &host, RecordTargetShutdown &shutdown)
-{
-    const auto known = host.targets.find(shutdown.target);
-    if (shutdown.start == Incarnation() && known != host.targets.end())
-        shutdown.start = known->second.announcement.start;
-}
-
-void onOperatorRequest(Host &host, const OperatorRequest &request, HostEffects &effects)
-{
-    OperatorCall call{host.settings.holder, request.id, request.dryRun, request.body};
-    if (auto *shutdown = std::get_if<RecordTargetShutdown>(&call.body))
-        resolveShutdown(host, *shutdown);
-    host.operatorCalls[request.id] = call;
-    effects.push_back(SendControl{call});
-}
-
 void onShutdown(Host &host, TimePoint now)
 {
     if (host.leaving)
@@ -91,6 +74,8 @@
 HostEffects step(Host &host, const HostEvent &event, TimePoint now)
 {
     HostEffects effects;
+    // Before the event: a process that stood still must not send what has expired meanwhile.
+    expireOperatorCalls(host, effects, now);
     if (const auto *asked = std::get_if<CallerRequest>(&event))
         onCallerRequest(host, *asked, effects, now);
     else if (const auto *gone = std::get_if<CallerDisconnected>(&event))
@@ -106,7 +91,9 @@
     else if (const auto *hint = std::get_if<CacheHint>(&event))
         onCacheHint(host, *hint);
     else if (const auto *request = std::get_if<OperatorRequest>(&event))
-        onOperatorRequest(host, *request, effects);
+        onOperatorRequest(host, *request, effects, now);
+    else if (const auto *presence = std::get_if<OperatorPresence>(&event))
+        onOperatorPresence(host, *presence, effects, now);
     else if (std::holds_alternative<ShutdownEvent>(event))
         onShutdown(host, now);
     else if (const auto *named = std::get_if<ControlMemberIdentified>(&event))
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -4,6 +4,7 @@
 #include "account/held_pool_base.h"
 #include "core/histogram_type.h"
 #include "host/host_type.h"
+#include "host/pending_change_base.h"
 #include "queue/fair_queue_base.h"
 #include "routing/routing_type.h"
 #include "state/view_base.h"
@@ -238,6 +239,9 @@
     std::uint64_t rateStated = 0; ///< Answers whose target stated a request rate limit.
     std::uint64_t heldByRate = 0; ///< Requests that have waited for a target's request rate.
     std::uint64_t calledBack = 0; ///< Attempts that were ended before they were sent.
+    std::uint64_t changesExpired = 0; ///< Operators' requests not answered by their deadline.
+    std::uint64_t changesAbandoned = 0; ///< Operators' requests whose operator did not wait.
+    std::uint64_t changesOvertaken = 0; ///< Changes refused for a newer one, and tried again.
     std::map<std::string, std::uint64_t> refusals; ///< Refused requests by refusal type.
     std::map<std::string, std::uint64_t> attempts; ///< Ended attempts by result.
     std::map<std::string, std::uint64_t> bounds; ///< Exceeded response limits by name.
@@ -248,13 +252,11 @@
     LatencyHistogram slotWaits; ///< Time from the budgets of a request to its first attempt.
     LatencyHistogram grantDelays; ///< Time from a report to its grant.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostCounters, requests, answered, retries, resumed,
-                                                streamsRecorded, streamsTakenUp, reports,
-                                                callsReplayed, callsJoined, callerGone,
-                                                lostUnanswered, trials, leavingStated, quietStated,
-                                                rateStated, heldByRate, calledBack, refusals,
-                                                attempts, bounds, waits, answers, refusalTimes,
-                                                budgetWaits, slotWaits, grantDelays)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    HostCounters, requests, answered, retries, resumed, streamsRecorded, streamsTakenUp, reports,
+    callsReplayed, callsJoined, callerGone, lostUnanswered, trials, leavingStated, quietStated,
+    rateStated, heldByRate, calledBack, refusals, attempts, bounds, waits, answers, refusalTimes,
+    budgetWaits, slotWaits, grantDelays, changesExpired, changesAbandoned, changesOvertaken)
 
 /** Complete state of one host's decision logic. */
 struct Host
@@ -302,8 +304,9 @@
     std::map<TargetId, bool> unconfirmedRates;
     std::map<TargetId, LocalTarget> localTargets; ///< Targets that send announcements to this host.
     std::map<RequestId, CallReport> callReports; ///< Reports not acknowledged by the leader yet.
-    /** Operator requests that the leader has not answered yet. */
-    std::map<std::uint64_t, OperatorCall> operatorCalls;
+    /** Operators' requests that have not ended, by OperatorRequest::id. */
+    std::map<std::uint64_t, PendingChange> operatorCalls;
+    std::uint64_t lastOperatorCall = 0; ///< Id of the last OperatorCall.
     std::vector<TargetId> targetsLeft; ///< Targets that shut down since the last report.
     std::vector<CrashSuspicion> suspicions; ///< Suspicions that have not been reported yet.
     std::vector<Digest> cleared; ///< Suspects that completed since the last report.
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -52,6 +52,21 @@
  * drain time of a shutdown. */
 void refuseExpired(Host &host, HostEffects &effects, TimePoint now);
 
+// Operators' requests.
+/** Sends the request to the leader, or first asks it what the change is to be based on. */
+void onOperatorRequest(Host &host, const OperatorRequest &request, HostEffects &effects,
+                       TimePoint now);
+void onOperatorAnswer(Host &host, const OperatorAnswer &answer, HostEffects &effects,
+                      TimePoint now);
+/** Sends the change to the leader if the operator still waits for the answer; otherwise drops it.
+ */
+void onOperatorPresence(Host &host, const OperatorPresence &presence, HostEffects &effects,
+                        TimePoint now);
+/** Drops the requests that have reached their deadline. */
+void expireOperatorCalls(Host &host, HostEffects &effects, TimePoint now);
+/** Sends again what the leader has not answered. */
+void resendOperatorCalls(const Host &host, HostEffects &effects);
+
 // Dispatch.
 /** Dispatches queued requests to targets as long as slots are free. */
 void dispatchAll(Host &host, HostEffects &effects, TimePoint now);
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -178,8 +178,17 @@
     std::uint64_t id = 0; ///< Unique within one host run.
     bool dryRun = false;
     OperatorBody body;
+    TimePoint deadline = TimePoint::max(); ///< Time at which the operator stops waiting.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OperatorRequest, id, dryRun, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OperatorRequest, id, dryRun, body, deadline)
+
+/** Answer to CheckOperator. */
+struct OperatorPresence
+{
+    std::uint64_t id = 0; ///< OperatorRequest::id.
+    bool waits = false; ///< Whether the operator still waits for the answer.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OperatorPresence, id, waits)
 
 /** The periodic timer fired. */
 struct TickEvent
@@ -218,7 +227,7 @@
 using HostEvent = std::variant<CallerRequest, CallerDisconnected, AttemptEnded, ControlMessageEvent,
                                ControlLinkEvent, TargetAnnounced, CacheHint, OperatorRequest,
                                TickEvent, ShutdownEvent, ControlMemberIdentified,
-                               TargetShuttingDown, ResponseBegan, TargetStated>;
+                               TargetShuttingDown, ResponseBegan, TargetStated, OperatorPresence>;
 
 /** Whether a target may have run a refused request. */
 enum class Execution {
@@ -328,16 +337,40 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SwitchControlHost, address, known)
 
+/** Why an operator's request has ended. */
+enum class OperatorEnd {
+    Answered, ///< The leader has answered.
+    Expired, ///< No answer came by the deadline.
+    OperatorGone, ///< The operator has not waited for the answer.
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(OperatorEnd,
+                             {{OperatorEnd::Answered, "answered"},
+                              {OperatorEnd::Expired, "expired"},
+                              {OperatorEnd::OperatorGone, "operatorGone"}})
+
 /** Returns the result of an operator's request to the operator. */
 struct AnswerOperator
 {
-    OperatorAnswer answer;
+    OperatorAnswer answer; ///< Its id is OperatorRequest::id.
+    OperatorEnd end = OperatorEnd::Answered;
+    Duration age{}; ///< Time from the handling of the request to its end; for log lines.
+    std::string request; ///< Kind of the request and the id of what it is about; for log lines.
+    std::string changeId; ///< Idempotency key, if the change has one; for log lines.
+    std::optional<Version> base{}; ///< Version that it was based on, if sent; for log lines.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnswerOperator, answer, end, age, request, changeId,
+                                                base)
+
+/** Asks whether the operator still waits for the answer; OperatorPresence follows at once. */
+struct CheckOperator
+{
+    std::uint64_t id = 0; ///< OperatorRequest::id.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnswerOperator, answer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CheckOperator, id)
 
 using HostEffect
     = std::variant<RefuseCaller, ReplayAnswer, StartAttempt, CancelAttempt, RetireConnections,
-                   SendControl, SwitchControlHost, AnswerOperator, CallBackAttempts>;
+                   SendControl, SwitchControlHost, AnswerOperator, CallBackAttempts, CheckOperator>;
 using HostEffects = std::vector<HostEffect>;
 
 } // namespace bilberry
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -255,20 +255,13 @@
         admitWaiting(host, id, effects, now);
 }
 
-void onOperatorAnswer(Host &host, const OperatorAnswer &answer, HostEffects &effects)
-{
-    if (host.operatorCalls.erase(answer.id) > 0)
-        effects.push_back(AnswerOperator{answer});
-}
-
 /** Resends messages that have not been acknowledged; the leader may not have received them. */
 void resendPending(Host &host, HostEffects &effects, TimePoint now)
 {
     host.resendDue = now + RESEND_INTERVAL;
     for (const auto &[id, report] : host.callReports)
         effects.push_back(SendControl{report});
-    for (const auto &[id, call] : host.operatorCalls)
-        effects.push_back(SendControl{call});
+    resendOperatorCalls(host, effects);
     for (const auto &[id, request] : host.requests) {
         const bool open = request.state == RequestState::WaitingForVerdict
             || request.state == RequestState::Joined;
@@ -323,7 +316,7 @@
     else if (const auto *ack = std::get_if<CallReportAck>(&message))
         host.callReports.erase(ack->request);
     else if (const auto *operatorAnswer = std::get_if<OperatorAnswer>(&message))
-        onOperatorAnswer(host, *operatorAnswer, effects);
+        onOperatorAnswer(host, *operatorAnswer, effects, now);
     else if (const auto *recall = std::get_if<BudgetRecall>(&message))
         onRecall(host, *recall);
     else if (const auto *stream = std::get_if<StreamAnswer>(&message))
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -235,8 +235,25 @@
     std::uint64_t id = 0; ///< Unique within the host run; echoed in the answer.
     bool dryRun = false; ///< Validate only, change nothing.
     OperatorBody body;
+    /** Asks for the ChangeBase of the change and changes nothing; dryRun is set, too, for leaders
+     * that do not know this field. */
+    bool asksForBase = false;
+    /** Version that the change is based on; it is refused if that is not the present one. Empty:
+     * not checked. */
+    std::optional<Version> base{};
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OperatorCall, holder, id, dryRun, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OperatorCall, holder, id, dryRun, body, asksForBase,
+                                                base)
+
+/** What the leader knows of the thing that a change is about; body of its OperatorAnswer. */
+struct ChangeBase
+{
+    /** Version of its last accepted change, to be given as OperatorCall::base; empty: changes of
+     * this kind need none. */
+    std::optional<Version> base;
+    Incarnation start; ///< Known incarnation of the target; only for RecordTargetShutdown.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ChangeBase, base, start)
 
 using HostMessage = std::variant<HostReport, CallQuery, CallReport, OperatorCall, StreamQuery>;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 /** @file http_server.cpp HTTP server on libmicrohttpd with one thread per connection. */
 #include "net/http_server_base.h"
 
+#include "net/connection_state_func.h"
 #include "net/grammar_log_func.h"
 #include "net/listen_func.h"
 #include "net/request_head_func.h"
@@ -102,6 +103,7 @@
         }
         if (const std::optional<GrammarFault> fault = checkTrailer(connection))
             return refuseMalformed(connection, *fault);
+        noteCaller(request, connection);
         const HttpReply reply = static_cast<Impl *>(self)->handler(request);
         MHD_Response *response = makeResponse(reply);
         const MHD_Result queued
@@ -110,6 +112,14 @@
         return queued;
     }
 
+    static void noteCaller(HttpRequest &request, MHD_Connection *connection)
+    {
+        const int socket
+            = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        request.arrivedAt = MonotonicClock::now() - timeSinceLastData(socket);
+        request.callerWaits = [socket]() { return isPeerConnected(socket); };
+    }
+
     static MHD_Result readHead(Context &context, MHD_Connection *connection, const char *method,
                                const char *version)
     {
--- a/src/net/http_server_base.h
+++ b/src/net/http_server_base.h
@@ -3,6 +3,7 @@
 
 #include "config/settings_type.h"
 #include "core/error_type.h"
+#include "core/time_type.h"
 
 #include <functional>
 #include <memory>
@@ -16,6 +17,11 @@
     std::string method;
     std::string path; ///< Without the query.
     std::string body;
+    /** Time at which its last byte arrived at this machine; it may have waited there to be read. */
+    TimePoint arrivedAt;
+    /** Tells whether the caller still waits for the answer. Does not block; may be called on any
+     * thread until the handler returns. Null: the caller waits. */
+    std::function<bool()> callerWaits;
 };
 
 /** Complete HTTP response. */
--- a/src/replay/decision_simulation.cpp
+++ b/src/replay/decision_simulation.cpp
@@ -3,6 +3,8 @@
 
 #include "state/cluster_func.h"
 
+#include <utility>
+
 namespace bilberry {
 
 namespace {
@@ -123,9 +125,32 @@
     return id;
 }
 
-void DecisionSimulation::sendOperatorRequest(int host, OperatorBody body)
+std::uint64_t DecisionSimulation::sendOperatorRequest(int host, OperatorBody body,
+                                                      Duration timeLimit)
+{
+    const std::uint64_t id = ++this->lastOperator;
+    const bool limited = timeLimit < TimePoint::max() - this->time;
+    const TimePoint deadline = limited ? this->time + timeLimit : TimePoint::max();
+    this->stepHost(host, OperatorRequest{id, false, std::move(body), deadline});
+    return id;
+}
+
+void DecisionSimulation::resume(int host)
 {
-    this->stepHost(host, OperatorRequest{++this->lastOperator, false, std::move(body)});
+    SimulatedHost &resumed = this->hosts[static_cast<std::size_t>(host)];
+    resumed.frozen = resumed.stalled = false;
+    for (const auto &[from, event] : std::exchange(this->heldEvents, {})) {
+        if (from == host)
+            this->stepHost(from, event);
+        else
+            this->heldEvents.emplace_back(from, event);
+    }
+    for (const auto &[from, message] : std::exchange(this->stalledMessages, {})) {
+        if (from == host)
+            this->sendToControl(from, message);
+        else
+            this->stalledMessages.emplace_back(from, message);
+    }
 }
 
 void DecisionSimulation::restartHost(int host)
@@ -152,6 +177,12 @@
 
 void DecisionSimulation::stepHost(int host, const HostEvent &event)
 {
+    if (this->hosts[static_cast<std::size_t>(host)].frozen) {
+        // A process that stood still sees one tick, not all that it has missed.
+        if (!std::holds_alternative<TickEvent>(event))
+            this->heldEvents.emplace_back(host, event);
+        return;
+    }
     Host &state = this->hosts[static_cast<std::size_t>(host)].host;
     for (const HostEffect &effect : step(state, event, this->time))
         this->execute(host, effect);
@@ -179,16 +210,18 @@
         }
         this->schedule(this->time, [this, host, ended]() { this->stepHost(host, ended); });
     } else if (const auto *message = std::get_if<SendControl>(&effect)) {
-        ++this->messages;
-        const std::uint64_t incarnation = this->controlIncarnation;
-        this->controlFreeAt = std::max(this->controlFreeAt, this->time + this->linkDelay)
-            + this->controlServiceTime;
-        this->schedule(this->controlFreeAt, [this, host, incarnation, m = message->message]() {
-            const bool isDelivered = !this->hosts[static_cast<std::size_t>(host)].partitioned
-                && !this->controlDown && incarnation == this->controlIncarnation;
-            if (isDelivered)
-                this->stepControl(HostMessageEvent{m});
+        if (this->hosts[static_cast<std::size_t>(host)].stalled)
+            this->stalledMessages.emplace_back(host, message->message);
+        else
+            this->sendToControl(host, message->message);
+    } else if (const auto *check = std::get_if<CheckOperator>(&effect)) {
+        const bool waits = !this->operatorWaits || this->operatorWaits(host, check->id);
+        this->schedule(this->time, [this, host, id = check->id, waits]() {
+            this->stepHost(host, OperatorPresence{id, waits});
         });
+    } else if (const auto *answer = std::get_if<AnswerOperator>(&effect)) {
+        if (this->onOperatorAnswer)
+            this->onOperatorAnswer(host, answer->answer);
     } else if (std::holds_alternative<SwitchControlHost>(effect)) {
         // There is only one control group member, so the host opens a new stream to the same
         // member.
@@ -199,6 +232,20 @@
     }
 }
 
+void DecisionSimulation::sendToControl(int host, const HostMessage &message)
+{
+    ++this->messages;
+    const std::uint64_t incarnation = this->controlIncarnation;
+    this->controlFreeAt
+        = std::max(this->controlFreeAt, this->time + this->linkDelay) + this->controlServiceTime;
+    this->schedule(this->controlFreeAt, [this, host, incarnation, message]() {
+        const bool isDelivered = !this->hosts[static_cast<std::size_t>(host)].partitioned
+            && !this->controlDown && incarnation == this->controlIncarnation;
+        if (isDelivered)
+            this->stepControl(HostMessageEvent{message});
+    });
+}
+
 void DecisionSimulation::startAttempt(int host, const StartAttempt &attempt)
 {
     const std::uint64_t incarnation = this->hostIncarnations[static_cast<std::size_t>(host)];
--- a/src/replay/decision_simulation_base.h
+++ b/src/replay/decision_simulation_base.h
@@ -57,6 +57,8 @@
 {
     Host host;
     bool partitioned = false; ///< Messages between the host and the leader are lost.
+    bool stalled = false; ///< Messages from the host wait in a buffer on the way to the leader.
+    bool frozen = false; ///< The process stands still; events wait until it goes on.
     bool down = false; ///< The host is not running; events to it are dropped.
 };
 
@@ -83,8 +85,17 @@
     /** Schedules a request to a host at time @p at. @return Id of the request. */
     RequestId send(int host, CallerRequest request, TimePoint at);
 
-    /** Sends an operator request to the leader through a host. */
-    void sendOperatorRequest(int host, OperatorBody body);
+    /**
+     * Sends an operator request to the leader through a host.
+     * @param timeLimit Time that the operator waits for the answer.
+     * @return Id of the request.
+     */
+    std::uint64_t sendOperatorRequest(int host, OperatorBody body,
+                                      Duration timeLimit = TimePoint::max() - TimePoint());
+
+    /** Delivers what waits behind SimulatedHost::stalled and SimulatedHost::frozen, and ends both.
+     */
+    void resume(int host);
 
     /** Runs all events up to @p end and sets the clock to @p end. */
     void runUntil(TimePoint end);
@@ -113,6 +124,10 @@
         onControlStep; ///< Called before (true) and after (false) each control step.
     std::function<void(const HostGrant &)>
         onGrant; ///< Called for each grant that the leader sends.
+    std::function<void(int host, const OperatorAnswer &)>
+        onOperatorAnswer; ///< Called for each answer to an operator request.
+    std::function<bool(int host, std::uint64_t request)>
+        operatorWaits; ///< Whether the operator still waits for the answer; null: always.
     std::function<void()> afterEvent; ///< Called after each event.
     std::vector<SimulatedHost> hosts;
     std::map<TargetId, SimulatedTarget> targets;
@@ -137,6 +152,7 @@
 
     void schedule(TimePoint at, std::function<void()> action);
     void stepHost(int host, const HostEvent &event);
+    void sendToControl(int host, const HostMessage &message);
     void execute(int host, const HostEffect &effect);
     void stepControl(const ControlEvent &event);
     void applyEffects(const ControlEffects &effects);
@@ -156,6 +172,9 @@
                                           ///< the last restart are dropped.
     std::vector<std::uint64_t>
         hostIncarnations; ///< Number of restarts of each host; drops its events in the same way.
+    std::vector<std::pair<int, HostMessage>>
+        stalledMessages; ///< Messages of stalled hosts, oldest first.
+    std::vector<std::pair<int, HostEvent>> heldEvents; ///< Events of frozen hosts, oldest first.
     std::map<std::pair<int, AttemptId>, TargetId>
         attempts; ///< Attempts in progress and their targets.
     std::uint64_t lastRequest = 0;
--- a/src/state/cluster_cmd.cpp
+++ b/src/state/cluster_cmd.cpp
@@ -2,6 +2,7 @@
 #include "state/cluster_func.h"
 
 #include "call/call_func.h"
+#include "state/change_func.h"
 #include "state/view_func.h"
 #include "stream/stream_func.h"
 
@@ -278,10 +279,45 @@
 };
 
 /**
- * Executes a command with a change id at most once.
+ * Executes a change of a record if it is based on the present version of the record. Each change
+ * with an outcome gets a version of its own, so that another one that is based on the same version
+ * is not executed later.
+ * @return Errc::VersionConflict if another change has had an outcome since.
+ */
+template <ChangesRecord Body>
+CommandOutcome executeBasedOn(Cluster &cluster, const Body &body, Version base)
+{
+    const RecordKey key = recordOf(body);
+    const Version present = changeVersion(cluster, key);
+    if (present != base)
+        return failure(Errc::VersionConflict, present);
+    CommandOutcome outcome = execute(cluster, body);
+    if (changeVersion(cluster, key) == present) {
+        cluster.modified[key] = Version(++cluster.version.value);
+        cluster.hostsVersion = cluster.version;
+    }
+    if (outcome.error == Errc::Ok)
+        outcome.version = cluster.version;
+    return outcome;
+}
+
+template <class Body>
+CommandOutcome executeIfCurrent(Cluster &cluster, const Body &body, std::optional<Version> base)
+{
+    if constexpr (ChangesRecord<Body>) {
+        if (base)
+            return executeBasedOn(cluster, body, *base);
+    }
+    return execute(cluster, body);
+}
+
+/**
+ * Executes a command with a change id at most once. A change that was refused because of its base
+ * may be sent again with another base.
  * @return For a resend the first outcome; Errc::ChangeIdReused if its content differs.
  */
-template <class Body> CommandOutcome executeOnce(Cluster &cluster, const Body &body)
+template <class Body>
+CommandOutcome executeOnce(Cluster &cluster, const Body &body, std::optional<Version> base)
 {
     const Digest content = digestOf({encode(body)});
     const auto known = std::find_if(
@@ -289,7 +325,9 @@
         [&](const RecordedChange &change) { return change.changeId == body.changeId; });
     if (known != cluster.changes.end())
         return known->content == content ? known->outcome : failure(Errc::ChangeIdReused);
-    CommandOutcome outcome = execute(cluster, body);
+    CommandOutcome outcome = executeIfCurrent(cluster, body, base);
+    if (base && outcome.error == Errc::VersionConflict)
+        return outcome;
     cluster.changes.push_back({body.changeId, content, outcome});
     if (cluster.changes.size() > MAX_RECORDED_CHANGES)
         cluster.changes.pop_front();
@@ -298,13 +336,21 @@
 
 } // namespace
 
+Version changeVersion(const Cluster &cluster, const RecordKey &key)
+{
+    const auto changed = cluster.modified.find(key);
+    const Version own = changed == cluster.modified.end() ? Version() : changed->second;
+    // A configuration may list keys, and then says of each one whether it is in force.
+    return key.kind == RecordKind::Key ? std::max(own, cluster.configVersion) : own;
+}
+
 CommandOutcome apply(Cluster &cluster, const Command &command)
 {
     cluster.clock = std::max(cluster.clock, command.clock);
     return std::visit(
         [&](const auto &body) {
             if constexpr (HAS_CHANGE_ID<std::decay_t<decltype(body)>>)
-                return executeOnce(cluster, body);
+                return executeOnce(cluster, body, command.base);
             else
                 return execute(cluster, body);
         },
--- a/src/state/command_type.h
+++ b/src/state/command_type.h
@@ -154,14 +154,18 @@
 {
     Duration clock{}; ///< Cluster time.
     CommandBody body;
+    /** Version of the record that the change is based on, see changeVersion(). If the record has
+     * another version, the command fails with Errc::VersionConflict. Empty: not checked. */
+    std::optional<Version> base{};
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Command, clock, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Command, clock, body, base)
 
 /** Outcome of a command, the same on every member. */
 struct CommandOutcome
 {
     Errc error = Errc::Ok;
-    Version version; ///< Table version after the command; for VersionConflict the config version.
+    Version version; ///< Table version after the command; for VersionConflict the present version
+                     ///< of what the command is based on.
     CallVerdict verdict
         = CallVerdict::Dispatch; ///< Decision on a BeginCall; unused for other commands.
     StoredAnswer answer; ///< Stored answer; set only for the verdict Replay.
--- a/src/tests/system/fleet.py
+++ b/src/tests/system/fleet.py
@@ -138,9 +138,10 @@
     def alive(self, name):
         return self.processes[name].poll() is None
 
-    def ctl(self, *words, timeout=20):
+    def ctl(self, *words, timeout=20, hosts=None):
         """Runs bilberryctl. Returns (exit code, output): parsed JSON, or text if it is not JSON."""
-        daemons = ",".join(f"127.0.0.1:{self.ports[h][1]}" for h in self.hosts if self.alive(h))
+        daemons = ",".join(f"127.0.0.1:{self.ports[h][1]}" for h in hosts or self.hosts
+                           if self.alive(h))
         done = subprocess.run([f"{self.build}/bilberryctl", "--daemon", daemons, "--json",
                                "--timeout", str(timeout), *words],
                               capture_output=True, text=True, check=False)
--- a/src/tests/system/scenarios.py
+++ b/src/tests/system/scenarios.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import signal
+import socket
 import time
 
 from platform_stand_in import EVENT_COUNT, PREFIX, PlatformSite, platform_config
@@ -22,6 +23,7 @@
 RATE = "no account exceeds its rate and burst"
 WARM_UP = "a target in warm-up is not overloaded"
 ZONE_OUT = "a zone taken out gets no new requests after a few seconds"
+OVERTAKEN = "an order without an answer changes nothing after a newer one"
 TARGET_OUT = "a leaving target gets no new requests after some seconds"
 GRACEFUL = "a graceful shutdown interrupts no request"
 CONFIG = "an accepted configuration is in force everywhere and never reverts"
@@ -32,7 +34,10 @@
 
 CI = {"unrepeatable_with_lost_answers", "not_run_is_true", "operators_race", "cold_burst",
       "key_withdrawn", "platform_whole_path", "short_soak", "stated_request_rate",
-      "leader_handed_over_while_an_order_arrives_late"}
+      "leader_handed_over_while_an_order_arrives_late",
+      "stopped_daemon_carries_out_no_overtaken_order"}
+SET_ZONE = 3  # Index of SetZone in OperatorBody, see src/link/link_type.h.
+OPERATOR_TIMEOUT_S = 8  # Time after which a daemon gives up an operator's request.
 SOAK_SEED = 3
 SOAK_SECONDS = 8
 IN_FORCE_S = 2.5  # 2 s until a change is in force, and the run time of bilberryctl.
@@ -301,6 +306,58 @@
         check_targets(report, site, ledgers=3)
 
 
+def send_zone_order(address, change_id, zone, out):
+    """Sends an operator's order on a new connection. Returns the connection, without an answer."""
+    body = json.dumps({"body": [SET_ZONE, {"changeId": change_id,
+                                           "zone": {"id": zone, "out": out}}]})
+    host, port = address.split(":")
+    connection = socket.create_connection((host, int(port)))
+    connection.sendall(f"POST /operator HTTP/1.1\r\nHost: {address}\r\n"
+                       f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
+    return connection
+
+
+def overtake_order(site, report, stopped, out, keeps_connection=False):
+    """A stopped daemon gets an order; the others get it, too, and then the opposite one.
+
+    The operator closes its connection after a second, or keeps it open and waits no longer than
+    daemons do.
+    """
+    def is_out():
+        return site.ctl("status", hosts=others)[1]["zones"]["z1"]["out"]
+
+    def order(word):
+        return wait_for(lambda: site.ctl("zone", word, "z1", timeout=2, hosts=others)[0] == 0, 15)
+    others = [h for h in site.hosts if h != stopped]
+    words = ("in", "out") if out else ("out", "in")
+    site.ctl("zone", words[1], "z1", hosts=others)
+    site.signal(stopped, signal.SIGSTOP)
+    connection = send_zone_order(f"127.0.0.1:{site.ports[stopped][1]}", f"late-{time.time_ns()}",
+                                 "z1", not out)
+    time.sleep(OPERATOR_TIMEOUT_S if keeps_connection else 1)
+    if not keeps_connection:
+        connection.close()
+    report.check(RECOVERY, all(order(word) is not None for word in words), f"without {stopped}")
+    site.signal(stopped, signal.SIGCONT)
+    undone = wait_for(lambda: is_out() != out, 3, 0.1)
+    report.check(OVERTAKEN, undone is None, f"{stopped}, out {out}, kept {keeps_connection}")
+    connection.close()
+
+
+def scenario_stopped_daemon_carries_out_no_overtaken_order(build, report, seed):
+    """Each daemon in turn stands still while it gets an order that others carry out meanwhile.
+
+    Guards against an evacuation that is undone, or done again, by an order whose operator has left.
+    The seed is the number of rounds.
+    """
+    with running(build, engines=1, ledgers=0, calendars=0) as site:
+        for round_number in range(seed):
+            for i, host in enumerate(site.controls):
+                overtake_order(site, report, host, out=(round_number + i) % 2 == 0)
+            overtake_order(site, report, site.controls[round_number % len(site.controls)],
+                           out=True, keeps_connection=True)
+
+
 def scenario_target_leaves(build, report, seed):
     """An operator makes a target leave under load."""
     with running(build, calendars=2) as site:
