Fix: [Host] [Control] A late shutdown without an incarnation does not reach a target that has restarted

Cause: if a target's shutdown names no incarnation, the host or the leader filled in the one it knew when it handled the order. An order that had waited in a stopped or cut off process got the incarnation of the restart, which then had no requests for a minute. Fix: the leader names its known incarnation in the answer to the first question, before the host looks whether the target still waits; what is sent then names it. Evidence: overtaken_change/shutdown_without_an_incarnation_does_not_reach_a_later_one fails if the incarnation is filled in when the order is handled, and passes now. What remains: if the leader knows no incarnation, every one is shut out for 60 s, as before.

--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -61,6 +61,8 @@
 {
     if constexpr (ChangesRecord<Body>)
         return {changeVersion(control.cluster, recordOf(body)), {}};
+    else if constexpr (std::is_same_v<Body, RecordTargetShutdown>)
+        return {{}, resolveShutdown(control, body).start};
     else
         return {};
 }
--- a/src/host/operator_cmd.cpp
+++ b/src/host/operator_cmd.cpp
@@ -14,7 +14,14 @@
 bool needsBase(const OperatorBody &body)
 {
     return std::visit(
-        [](const auto &change) { return ChangesRecord<std::decay_t<decltype(change)>>; }, body);
+        [](const auto &change) {
+            using Body = std::decay_t<decltype(change)>;
+            if constexpr (std::is_same_v<Body, RecordTargetShutdown>)
+                return change.start == Incarnation();
+            else
+                return ChangesRecord<Body>;
+        },
+        body);
 }
 
 /** Names of the alternatives of OperatorBody, for log lines. */
@@ -51,14 +58,6 @@
         body);
 }
 
-/** Names the incarnation that shuts down, if the target did not and this host knows it. */
-void resolveShutdown(const Host &host, RecordTargetShutdown &shutdown)
-{
-    const auto known = host.targets.find(shutdown.target);
-    if (shutdown.start == Incarnation() && known != host.targets.end())
-        shutdown.start = known->second.announcement.start;
-}
-
 /** Sends the message of the request's present step, under a new id: an answer to an earlier step
  * that arrives late has another one. */
 void sendStep(Host &host, PendingChange &change, HostEffects &effects)
@@ -103,6 +102,8 @@
 {
     const ChangeBase known = body.is_object() ? body.get<ChangeBase>() : ChangeBase();
     change.call.base = known.base;
+    if (auto *shutdown = std::get_if<RecordTargetShutdown>(&change.call.body))
+        shutdown->start = known.start;
 }
 
 } // namespace
@@ -113,8 +114,6 @@
     PendingChange &change = host.operatorCalls[request.id];
     change.call.holder = host.settings.holder;
     change.call.body = request.body;
-    if (auto *shutdown = std::get_if<RecordTargetShutdown>(&change.call.body))
-        resolveShutdown(host, *shutdown);
     change.dryRun = request.dryRun;
     change.receivedAt = now;
     change.deadline = request.deadline;
--- a/src/tests/overtaken_change_test.cpp
+++ b/src/tests/overtaken_change_test.cpp
@@ -436,6 +436,59 @@
 
 namespace {
 
+/** Target that is reported through a host other than host 0, as others come before it. */
+SimulatedTarget makeTarget(const std::string &id)
+{
+    SimulatedTarget target;
+    target.announcement.id = TargetId(id);
+    target.announcement.kind = TargetKind::Service;
+    target.announcement.service = "s";
+    target.announcement.start = Incarnation(1);
+    target.announcement.maxConcurrent = 8;
+    return target;
+}
+
+/** @return Incarnation of target "t0" that is recorded as shut down after the target has restarted
+ * while the shutdown of its first incarnation, which names none, waits at the disturbed host. */
+Incarnation recordedShutdown(Disturbance kind, Duration begin)
+{
+    OperatorWorld world(1);
+    world.simulation.addTarget(makeTarget("a0"));
+    world.simulation.addTarget(makeTarget("t0"));
+    world.runFor(WARM_UP);
+    if (begin == Duration::zero())
+        world.disturb(0, kind);
+    const std::uint64_t late = world.simulation.sendOperatorRequest(
+        0, RecordTargetShutdown{TargetId("t0"), Incarnation()});
+    world.runFor(begin);
+    world.disturb(0, kind);
+    world.runFor(OPERATOR_PATIENCE);
+    world.endWait(late);
+    world.simulation.targets.at(TargetId("t0")).announcement.start = Incarnation(2);
+    world.runFor(SETTLE);
+    world.heal(0);
+    world.runFor(SETTLE);
+    const auto &policies = world.simulation.control.cluster.view.targets;
+    const auto policy = policies.find(TargetId("t0"));
+    return policy == policies.end() ? Incarnation() : policy->second.shutDown;
+}
+
+} // namespace
+
+// Guards against: a target that gets no requests for a minute after its restart, as the shutdown of
+// its former incarnation, which named none, was handled late and taken for the new one's.
+Test(overtaken_change, shutdown_without_an_incarnation_does_not_reach_a_later_one)
+{
+    for (const Disturbance kind : DISTURBANCES) {
+        for (Duration begin{}; begin <= 6ms; begin += 500us) {
+            cr_expect_leq(recordedShutdown(kind, begin).value, 1, "disturbance %d after %lld us",
+                          static_cast<int>(kind), static_cast<long long>(begin.count()));
+        }
+    }
+}
+
+namespace {
+
 Command setZone(const std::string &changeId, bool out, std::optional<Version> base)
 {
     return {Duration::zero(), SetZone{changeId, {ZoneId("z"), out}}, base};
