Fix: [Control] A late change of the control group's members is refused after a newer one

Cause: ChangeMember was compared with the present members only, so a removal that had waited undid a later addition. Fix: as other changes it is based on a version, here the log index of the membership; a change that finds the members as it wants them is recorded again, so that it has an index of its own. Evidence: overtaken_change/removal_of_a_member_is_overtaken_by_its_addition fails without the comparison, and without the new index, and passes now. Members that the leader replaces by itself are not touched.

--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -61,12 +61,33 @@
 {
     if constexpr (ChangesRecord<Body>)
         return {changeVersion(control.cluster, recordOf(body)), {}};
+    else if constexpr (std::is_same_v<Body, ChangeMember>)
+        return {Version(control.replica.membershipIndex), {}};
     else if constexpr (std::is_same_v<Body, RecordTargetShutdown>)
         return {{}, resolveShutdown(control, body).start};
     else
         return {};
 }
 
+/**
+ * Acknowledges a change that was completed earlier and is resent. The membership is recorded again,
+ * so that no other change that is based on the same index is carried out later.
+ */
+void confirmMembers(Control &control, const OperatorCall &call, ControlEffects &effects,
+                    TimePoint now)
+{
+    const Membership present = control.replica.membership;
+    if (call.base) {
+        Result<ReplicaEffects> recorded = changeMembership(control.replica, present, now);
+        if (!recorded) {
+            answer(call, static_cast<Errc>(recorded.error().value()), nullptr, effects);
+            return;
+        }
+        applyReplicaEffects(control, std::move(recorded).value(), effects, now);
+    }
+    answer(call, Errc::Ok, {{"members", present}}, effects);
+}
+
 /**
  * Adds the new member as a learner; continueMemberChange() makes it a voter in place of the removed
  * member once it has caught up. Removes a member at once if none is added.
@@ -74,6 +95,11 @@
 void changeMember(Control &control, const OperatorCall &call, const ChangeMember &change,
                   ControlEffects &effects, TimePoint now)
 {
+    const Version present(control.replica.membershipIndex);
+    if (call.base && *call.base != present) {
+        answer(call, Errc::VersionConflict, {{"version", present}}, effects);
+        return;
+    }
     Membership next = control.replica.membership;
     const MemberId added(change.add);
     const MemberId removed(change.remove);
@@ -81,8 +107,7 @@
     const bool removesUnknown = !change.remove.empty() && !next.voters.contains(removed)
         && !next.learners.contains(removed);
     if (addsKnown && (change.remove.empty() || removesUnknown)) {
-        answer(call, Errc::Ok, {{"members", next}},
-               effects); // The change was completed earlier and is resent.
+        confirmMembers(control, call, effects, now);
         return;
     }
     if (removesUnknown || (change.add.empty() && change.remove.empty())) {
--- a/src/host/operator_cmd.cpp
+++ b/src/host/operator_cmd.cpp
@@ -19,7 +19,7 @@
             if constexpr (std::is_same_v<Body, RecordTargetShutdown>)
                 return change.start == Incarnation();
             else
-                return ChangesRecord<Body>;
+                return ChangesRecord<Body> || std::is_same_v<Body, ChangeMember>;
         },
         body);
 }
--- a/src/tests/overtaken_change_test.cpp
+++ b/src/tests/overtaken_change_test.cpp
@@ -1,5 +1,6 @@
 /** @file overtaken_change_test.cpp Operators' changes that got no answer, after newer ones that
  * were acknowledged elsewhere. */
+#include "control_group.h"
 #include "replay/decision_simulation_base.h"
 #include "service_folder.h"
 #include "state/change_func.h"
@@ -489,6 +490,47 @@
 
 namespace {
 
+/** @return The leader's answer to a change of its group. */
+OperatorAnswer changeMembers(ControlGroup &group, const ChangeMember &change, bool asksForBase,
+                             std::optional<Version> base)
+{
+    GroupDaemon &leader = *group.leader();
+    const OperatorCall call{{HostId("operator"), 1}, 1, asksForBase, change, asksForBase, base};
+    const ControlEffects effects = step(*leader.control, HostMessageEvent{call}, group.now);
+    group.handleEffects(leader, effects);
+    for (const OutgoingControlMessage &message : effects.toHosts) {
+        if (const auto *answer = std::get_if<OperatorAnswer>(&message.message)) {
+            group.runFor(1s);
+            return *answer;
+        }
+    }
+    return {0, Errc::Timeout, nullptr};
+}
+
+} // namespace
+
+// Guards against: a member that is removed by an earlier order after a newer one has added it, or
+// has found it to be a member.
+Test(overtaken_change, removal_of_a_member_is_overtaken_by_its_addition)
+{
+    ControlGroup group(GROUP_VOTERS, 0);
+    group.runFor(3s);
+    const MemberId member = group.daemons.back().member;
+    cr_assert_neq(group.leader()->member, member);
+    const ChangeMember removal{"", "", member.value};
+    const ChangeMember addition{member.value, group.daemons.back().address, ""};
+    const auto base = changeMembers(group, removal, true, {}).body.get<ChangeBase>().base;
+    cr_assert(base);
+    cr_assert_eq(changeMembers(group, addition, false, base).error, Errc::Ok);
+    cr_expect_eq(changeMembers(group, removal, false, base).error, Errc::VersionConflict);
+    cr_expect(group.voters().contains(member));
+    const auto next = changeMembers(group, removal, true, {}).body.get<ChangeBase>().base;
+    cr_expect_eq(changeMembers(group, removal, false, next).error, Errc::Ok);
+    cr_expect(!group.voters().contains(member));
+}
+
+namespace {
+
 Command setZone(const std::string &changeId, bool out, std::optional<Version> base)
 {
     return {Duration::zero(), SetZone{changeId, {ZoneId("z"), out}}, base};
