--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -362,6 +362,45 @@
     return out;
 }
 
+namespace {
+
+/** @return Whether the line is about an operator's request that names @p id. */
+bool concernsChange(const LogLine &line, const std::string &id)
+{
+    if (line.event == "operatorCall")
+        return absl::EndsWith(stringField(line, "call"), " " + id);
+    if (line.event == "operatorRequestDropped")
+        return absl::EndsWith(stringField(line, "request"), " " + id)
+            || stringField(line, "changeId") == id;
+    return line.event == "changeOvertaken"
+        && (stringField(line, "record") == id || stringField(line, "changeId") == id);
+}
+
+} // namespace
+
+Explanation explainChange(const std::vector<LogLine> &lines, const std::string &id)
+{
+    Explanation out;
+    std::string lastAccepted;
+    int dropped = 0;
+    int overtaken = 0;
+    for (const LogLine &line : lines) {
+        if (!concernsChange(line, id))
+            continue;
+        out.path.push_back(line);
+        dropped += line.event == "operatorRequestDropped" ? 1 : 0;
+        overtaken += line.event == "changeOvertaken" ? 1 : 0;
+        if (stringField(line, "outcome") == "ok")
+            lastAccepted = absl::StrCat(stringField(line, "call"), " by ", line.host);
+    }
+    if (out.path.empty())
+        return out;
+    out.cause
+        = absl::StrCat(lastAccepted.empty() ? "none accepted" : "last accepted: " + lastAccepted,
+                       "; dropped ", dropped, ", refused for a newer one ", overtaken);
+    return out;
+}
+
 std::string describe(const Explanation &explanation)
 {
     std::string out;
--- a/src/ctl/explain_func.h
+++ b/src/ctl/explain_func.h
@@ -50,6 +50,12 @@
  */
 Explanation explainVersion(const std::vector<LogLine> &lines, std::uint64_t number);
 
+/**
+ * Collects what operators' requests about a thing, such as a zone, have come to.
+ * @param lines Sorted by sortLogLines(). @param id Id of the thing, or of one change.
+ */
+Explanation explainChange(const std::vector<LogLine> &lines, const std::string &id);
+
 /** Sorts log lines by time; lines of the same time keep their order. */
 void sortLogLines(std::vector<LogLine> &lines);
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -41,6 +41,8 @@
   explain ID FILE...            log lines and cause of the request that the caller sent with ID
   explain target ID FILE...     the same for a target
   explain version N FILE...     the same for a configuration
+  explain change ID FILE...     the same for operators' requests about a zone, target or key, or one
+                                change
   member show                   identity of the control group member in the first daemon
   member add ID IP:PORT | member replace OLD-ID ID IP:PORT | member remove ID
 )";
@@ -235,7 +237,8 @@
 {
     const bool target = arguments[1] == "target";
     const bool version = arguments[1] == "version";
-    const std::size_t id = target || version ? 2 : 1;
+    const bool change = arguments[1] == "change";
+    const std::size_t id = target || version || change ? 2 : 1;
     if (arguments.size() < id + 2)
         return EXIT_USAGE;
     std::vector<LogLine> lines;
@@ -255,6 +258,7 @@
         return EXIT_USAGE;
     }
     const Explanation explanation = target ? explainTarget(lines, arguments[id])
+        : change                           ? explainChange(lines, arguments[id])
         : version                          ? explainVersion(lines, number)
                                            : explainRequest(lines, arguments[id]);
     std::cout << describe(explanation);
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -38,6 +38,10 @@
 28.1 front-2 {"event":"requestMalformed","rule":"startLine","field":"","tag":"line","host":"front-2","unixMs":28100}
 28.5 front-2 {"event":"attemptStarted","attempt":11,"target":"t5","tag":"two-lengths","host":"front-2","unixMs":28500}
 28.6 front-2 {"event":"answerMalformed","attempt":11,"target":"t5","rule":"framing","field":"Content-Length","host":"front-2","unixMs":28600}
+29.0 core-1 {"event":"operatorCall","call":"zoneOut z7","outcome":"ok","host":"core-1","unixMs":29000}
+29.1 core-2 {"event":"operatorRequestDropped","request":"setZone z7","why":"expired","changeId":"c-1","base":4,"ageMs":901,"host":"core-2","unixMs":29100}
+29.2 core-1 {"event":"changeOvertaken","record":"z7","changeId":"c-2","base":4,"present":6,"by":"core-2","host":"core-1","unixMs":29200}
+29.3 core-1 {"event":"operatorCall","call":"zoneOut z77","outcome":"ok","host":"core-1","unixMs":29300}
 28.6 front-2 {"event":"attemptEnded","attempt":11,"result":"invalid","events":0,"status":200,"host":"front-2","unixMs":28600}
 28.6 front-2 {"event":"requestRefused","type":"may_have_run","tag":"two-lengths","freshMs":900,"host":"front-2","unixMs":28601}
 30.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"over","freshMs":900,"host":"front-1","unixMs":30000}
@@ -106,3 +110,15 @@
     cr_assert(absl::StrContains(explainVersion(recorded(), 8).cause, "never accepted"));
     cr_assert(explainVersion(recorded(), 9).cause.empty());
 }
+
+// Guards against: an operator's order that came to nothing, and of which no line tells why.
+Test(explain, change_names_the_last_accepted_order_and_those_that_were_dropped)
+{
+    const std::vector<LogLine> lines = recorded();
+    const Explanation zone = explainChange(lines, "z7");
+    cr_expect_eq(zone.path.size(), 3);
+    cr_expect_eq(zone.cause,
+                 "last accepted: zoneOut z7 by core-1; dropped 1, refused for a newer one 1");
+    cr_expect_eq(explainChange(lines, "c-2").path.size(), 1);
+    cr_expect(explainChange(lines, "z8").cause.empty());
+}
