--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -220,12 +220,16 @@
 void onOperatorCall(Control &control, const OperatorCall &call, ControlEffects &effects,
                     TimePoint now)
 {
+    if (call.asksForBase) {
+        const ChangeBase base
+            = std::visit([&](const auto &body) { return baseOf(control, body); }, call.body);
+        answer(call, Errc::Ok, base, effects);
+        return;
+    }
     std::visit(
         [&](const auto &body) {
             using Body = std::decay_t<decltype(body)>;
-            if (call.asksForBase)
-                answer(call, Errc::Ok, baseOf(control, body), effects);
-            else if constexpr (std::is_same_v<Body, StatusQuery>)
+            if constexpr (std::is_same_v<Body, StatusQuery>)
                 answer(call, Errc::Ok, body.full ? dump(control, now) : makeStatus(control, now),
                        effects);
             else if constexpr (std::is_same_v<Body, ConfigQuery>)
--- a/src/host/operator_cmd.cpp
+++ b/src/host/operator_cmd.cpp
@@ -32,7 +32,7 @@
 /** @return Kind of the request and the id of what it is about, as "setZone z1". */
 std::string nameOf(const OperatorBody &body)
 {
-    const std::string name = REQUEST_NAMES[body.index()];
+    std::string name = REQUEST_NAMES[body.index()];
     return std::visit(
         [&](const auto &change) -> std::string {
             using Body = std::decay_t<decltype(change)>;
