--- a/src/tests/overtaken_change_test.cpp
+++ b/src/tests/overtaken_change_test.cpp
@@ -531,6 +531,61 @@
 
 namespace {
 
+/** Sends a change of zone "z" to a member, as a host does that knows the base. */
+void orderZone(ControlGroup &group, GroupDaemon &daemon, bool out, std::uint64_t id)
+{
+    const Version base = changeVersion(daemon.control->cluster, {RecordKind::Zone, "z"});
+    const SetZone change{"change-" + std::to_string(id), {ZoneId("z"), out}};
+    const OperatorCall call{{HostId("operator"), 1}, id, false, change, false, base};
+    group.deliverEvent(daemon, HostMessageEvent{call});
+}
+
+bool isOut(const GroupDaemon &daemon)
+{
+    const auto &zones = daemon.control->cluster.view.zones;
+    const auto zone = zones.find(ZoneId("z"));
+    return zone != zones.end() && zone->second.out;
+}
+
+/** @return Whether the zone is out at all members, after a leader that was cut off with an order to
+ * end the evacuation in its log, and possibly in those of others, is back. */
+bool staysOut(int stepsBeforeCut, Duration cutFor)
+{
+    ControlGroup group(GROUP_VOTERS, 0);
+    group.runFor(3s);
+    orderZone(group, *group.leader(), true, 1);
+    group.runFor(500ms);
+    GroupDaemon &deposed = *group.leader();
+    orderZone(group, deposed, false, 2);
+    group.runFor(stepsBeforeCut * GROUP_STEP);
+    deposed.isolated = true;
+    group.runFor(4s);
+    GroupDaemon *successor = group.leader();
+    cr_assert(successor != nullptr && successor != &deposed);
+    orderZone(group, *successor, false, 3);
+    group.runFor(500ms);
+    orderZone(group, *successor, true, 4);
+    group.runFor(cutFor);
+    deposed.isolated = false;
+    group.runFor(3s);
+    return std::all_of(group.daemons.begin(), group.daemons.end(), isOut);
+}
+
+} // namespace
+
+// Guards against: an order in the log of a leader that was cut off, which is carried out after
+// newer orders of its successor.
+Test(overtaken_change, order_in_the_log_of_a_deposed_leader_changes_nothing_after_a_newer_one)
+{
+    for (int steps = 0; steps <= 4; ++steps) {
+        for (Duration cutFor = 500ms; cutFor <= 5s; cutFor += 1500ms)
+            cr_expect(staysOut(steps, cutFor), "cut after %d steps, for %lld us more", steps,
+                      static_cast<long long>(cutFor.count()));
+    }
+}
+
+namespace {
+
 Command setZone(const std::string &changeId, bool out, std::optional<Version> base)
 {
     return {Duration::zero(), SetZone{changeId, {ZoneId("z"), out}}, base};
