Codechange: [Host] An operator's request has one name on its way through the host

A newcomer met PendingChange, operatorCalls and changesExpired for one thing that is not always a change (status and configuration are asked for in the same way). Names only; what is sent and the names of the counters on /metrics do not change.

--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -75,9 +75,9 @@
     appendCounter(out, "requests_held_by_rate_total", "", "", counters.heldByRate);
     appendCounter(out, "attempts_called_back_total", "", "", counters.calledBack);
     appendCounter(out, "operator_requests_dropped_total", "why", "expired",
-                  counters.changesExpired);
+                  counters.operatorRequestsExpired);
     appendCounter(out, "operator_requests_dropped_total", "why", "operatorGone",
-                  counters.changesAbandoned);
+                  counters.operatorRequestsAbandoned);
     appendCounter(out, "changes_overtaken_total", "", "", counters.changesOvertaken);
     for (const auto &[type, count] : counters.refusals)
         appendCounter(out, "refusals_total", "type", type, count);
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -75,7 +75,7 @@
 {
     HostEffects effects;
     // Before the event: a process that stood still must not send what has expired meanwhile.
-    expireOperatorCalls(host, effects, now);
+    expireOperatorRequests(host, effects, now);
     if (const auto *asked = std::get_if<CallerRequest>(&event))
         onCallerRequest(host, *asked, effects, now);
     else if (const auto *gone = std::get_if<CallerDisconnected>(&event))
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -4,7 +4,7 @@
 #include "account/held_pool_base.h"
 #include "core/histogram_type.h"
 #include "host/host_type.h"
-#include "host/pending_change_base.h"
+#include "host/pending_operator_request_base.h"
 #include "queue/fair_queue_base.h"
 #include "routing/routing_type.h"
 #include "state/view_base.h"
@@ -239,8 +239,10 @@
     std::uint64_t rateStated = 0; ///< Answers whose target stated a request rate limit.
     std::uint64_t heldByRate = 0; ///< Requests that have waited for a target's request rate.
     std::uint64_t calledBack = 0; ///< Attempts that were ended before they were sent.
-    std::uint64_t changesExpired = 0; ///< Operators' requests not answered by their deadline.
-    std::uint64_t changesAbandoned = 0; ///< Operators' requests whose operator did not wait.
+    std::uint64_t operatorRequestsExpired
+        = 0; ///< Operators' requests not answered by their deadline.
+    std::uint64_t operatorRequestsAbandoned
+        = 0; ///< Operators' requests whose operator did not wait.
     std::uint64_t changesOvertaken = 0; ///< Changes refused for a newer one, and tried again.
     std::map<std::string, std::uint64_t> refusals; ///< Refused requests by refusal type.
     std::map<std::string, std::uint64_t> attempts; ///< Ended attempts by result.
@@ -256,7 +258,8 @@
     HostCounters, requests, answered, retries, resumed, streamsRecorded, streamsTakenUp, reports,
     callsReplayed, callsJoined, callerGone, lostUnanswered, trials, leavingStated, quietStated,
     rateStated, heldByRate, calledBack, refusals, attempts, bounds, waits, answers, refusalTimes,
-    budgetWaits, slotWaits, grantDelays, changesExpired, changesAbandoned, changesOvertaken)
+    budgetWaits, slotWaits, grantDelays, operatorRequestsExpired, operatorRequestsAbandoned,
+    changesOvertaken)
 
 /** Complete state of one host's decision logic. */
 struct Host
@@ -305,7 +308,7 @@
     std::map<TargetId, LocalTarget> localTargets; ///< Targets that send announcements to this host.
     std::map<RequestId, CallReport> callReports; ///< Reports not acknowledged by the leader yet.
     /** Operators' requests that have not ended, by OperatorRequest::id. */
-    std::map<std::uint64_t, PendingChange> operatorCalls;
+    std::map<std::uint64_t, PendingOperatorRequest> operatorRequests;
     std::uint64_t lastOperatorCall = 0; ///< Id of the last OperatorCall.
     std::vector<TargetId> targetsLeft; ///< Targets that shut down since the last report.
     std::vector<CrashSuspicion> suspicions; ///< Suspicions that have not been reported yet.
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -63,9 +63,9 @@
 void onOperatorPresence(Host &host, const OperatorPresence &presence, HostEffects &effects,
                         TimePoint now);
 /** Drops the requests that have reached their deadline. */
-void expireOperatorCalls(Host &host, HostEffects &effects, TimePoint now);
+void expireOperatorRequests(Host &host, HostEffects &effects, TimePoint now);
 /** Sends again what the leader has not answered. */
-void resendOperatorCalls(const Host &host, HostEffects &effects);
+void resendOperatorRequests(const Host &host, HostEffects &effects);
 
 // Dispatch.
 /** Dispatches queued requests to targets as long as slots are free. */
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -261,7 +261,7 @@
     host.resendDue = now + RESEND_INTERVAL;
     for (const auto &[id, report] : host.callReports)
         effects.push_back(SendControl{report});
-    resendOperatorCalls(host, effects);
+    resendOperatorRequests(host, effects);
     for (const auto &[id, request] : host.requests) {
         const bool open = request.state == RequestState::WaitingForVerdict
             || request.state == RequestState::Joined;
--- a/src/host/operator_cmd.cpp
+++ b/src/host/operator_cmd.cpp
@@ -60,49 +60,49 @@
 
 /** Sends the message of the request's present step, under a new id: an answer to an earlier step
  * that arrives late has another one. */
-void sendStep(Host &host, PendingChange &change, HostEffects &effects)
+void sendStep(Host &host, PendingOperatorRequest &pending, HostEffects &effects)
 {
-    change.call.id = ++host.lastOperatorCall;
-    effects.push_back(SendControl{change.call});
+    pending.call.id = ++host.lastOperatorCall;
+    effects.push_back(SendControl{pending.call});
 }
 
-void askForBase(Host &host, PendingChange &change, HostEffects &effects)
+void askForBase(Host &host, PendingOperatorRequest &pending, HostEffects &effects)
 {
-    change.step = ChangeStep::AskingForBase;
-    change.call.dryRun = true;
-    change.call.asksForBase = true;
-    change.call.base.reset();
-    sendStep(host, change, effects);
+    pending.step = OperatorStep::AskingForBase;
+    pending.call.dryRun = true;
+    pending.call.asksForBase = true;
+    pending.call.base.reset();
+    sendStep(host, pending, effects);
 }
 
-void sendRequest(Host &host, PendingChange &change, HostEffects &effects)
+void sendRequest(Host &host, PendingOperatorRequest &pending, HostEffects &effects)
 {
-    change.step = ChangeStep::Sent;
-    change.call.dryRun = change.dryRun;
-    change.call.asksForBase = false;
-    sendStep(host, change, effects);
+    pending.step = OperatorStep::Sent;
+    pending.call.dryRun = pending.dryRun;
+    pending.call.asksForBase = false;
+    sendStep(host, pending, effects);
 }
 
 /** Ends a request: tells the operator, if it still waits. */
 void endRequest(Host &host, std::uint64_t request, OperatorAnswer answer, OperatorEnd end,
                 HostEffects &effects, TimePoint now)
 {
-    const auto it = host.operatorCalls.find(request);
-    const PendingChange &change = it->second;
+    const auto it = host.operatorRequests.find(request);
+    const PendingOperatorRequest &pending = it->second;
     answer.id = request;
-    effects.push_back(AnswerOperator{std::move(answer), end, now - change.receivedAt,
-                                     nameOf(change.call.body), changeIdOf(change.call.body),
-                                     change.call.base});
-    host.operatorCalls.erase(it);
+    effects.push_back(AnswerOperator{std::move(answer), end, now - pending.receivedAt,
+                                     nameOf(pending.call.body), changeIdOf(pending.call.body),
+                                     pending.call.base});
+    host.operatorRequests.erase(it);
 }
 
 /** Takes over the leader's answer to askForBase(). A leader that does not know the question answers
  * without a base; the change is then sent without one. */
-void adoptBase(PendingChange &change, const nlohmann::json &body)
+void adoptBase(PendingOperatorRequest &pending, const nlohmann::json &body)
 {
     const ChangeBase known = body.is_object() ? body.get<ChangeBase>() : ChangeBase();
-    change.call.base = known.base;
-    if (auto *shutdown = std::get_if<RecordTargetShutdown>(&change.call.body))
+    pending.call.base = known.base;
+    if (auto *shutdown = std::get_if<RecordTargetShutdown>(&pending.call.body))
         shutdown->start = known.start;
 }
 
@@ -111,37 +111,37 @@
 void onOperatorRequest(Host &host, const OperatorRequest &request, HostEffects &effects,
                        TimePoint now)
 {
-    PendingChange &change = host.operatorCalls[request.id];
-    change.call.holder = host.settings.holder;
-    change.call.body = request.body;
-    change.dryRun = request.dryRun;
-    change.receivedAt = now;
-    change.deadline = request.deadline;
-    if (now >= change.deadline)
-        expireOperatorCalls(host, effects, now);
-    else if (!change.dryRun && needsBase(change.call.body))
-        askForBase(host, change, effects);
+    PendingOperatorRequest &pending = host.operatorRequests[request.id];
+    pending.call.holder = host.settings.holder;
+    pending.call.body = request.body;
+    pending.dryRun = request.dryRun;
+    pending.receivedAt = now;
+    pending.deadline = request.deadline;
+    if (now >= pending.deadline)
+        expireOperatorRequests(host, effects, now);
+    else if (!pending.dryRun && needsBase(pending.call.body))
+        askForBase(host, pending, effects);
     else
-        sendRequest(host, change, effects);
+        sendRequest(host, pending, effects);
 }
 
 void onOperatorAnswer(Host &host, const OperatorAnswer &answer, HostEffects &effects, TimePoint now)
 {
     const auto it
-        = std::find_if(host.operatorCalls.begin(), host.operatorCalls.end(),
+        = std::find_if(host.operatorRequests.begin(), host.operatorRequests.end(),
                        [&](const auto &item) { return item.second.call.id == answer.id; });
-    if (it == host.operatorCalls.end())
+    if (it == host.operatorRequests.end())
         return;
-    PendingChange &change = it->second;
-    if (change.step == ChangeStep::AskingForBase && answer.error == Errc::Ok) {
-        adoptBase(change, answer.body);
-        change.step = ChangeStep::CheckingOperator;
+    PendingOperatorRequest &pending = it->second;
+    if (pending.step == OperatorStep::AskingForBase && answer.error == Errc::Ok) {
+        adoptBase(pending, answer.body);
+        pending.step = OperatorStep::CheckingOperator;
         effects.push_back(CheckOperator{it->first});
-    } else if (change.step == ChangeStep::Sent && change.call.base
+    } else if (pending.step == OperatorStep::Sent && pending.call.base
                && answer.error == Errc::VersionConflict) {
         ++host.counters.changesOvertaken;
-        askForBase(host, change, effects);
-    } else if (change.step != ChangeStep::CheckingOperator) {
+        askForBase(host, pending, effects);
+    } else if (pending.step != OperatorStep::CheckingOperator) {
         endRequest(host, it->first, answer, OperatorEnd::Answered, effects, now);
     }
 }
@@ -149,34 +149,34 @@
 void onOperatorPresence(Host &host, const OperatorPresence &presence, HostEffects &effects,
                         TimePoint now)
 {
-    const auto it = host.operatorCalls.find(presence.id);
-    if (it == host.operatorCalls.end() || it->second.step != ChangeStep::CheckingOperator)
+    const auto it = host.operatorRequests.find(presence.id);
+    if (it == host.operatorRequests.end() || it->second.step != OperatorStep::CheckingOperator)
         return;
     if (presence.waits) {
         sendRequest(host, it->second, effects);
         return;
     }
-    ++host.counters.changesAbandoned;
+    ++host.counters.operatorRequestsAbandoned;
     endRequest(host, it->first, {0, Errc::Timeout, nullptr}, OperatorEnd::OperatorGone, effects,
                now);
 }
 
-void expireOperatorCalls(Host &host, HostEffects &effects, TimePoint now)
+void expireOperatorRequests(Host &host, HostEffects &effects, TimePoint now)
 {
-    for (auto it = host.operatorCalls.begin(); it != host.operatorCalls.end();) {
-        const auto &[request, change] = *it++;
-        if (now < change.deadline)
+    for (auto it = host.operatorRequests.begin(); it != host.operatorRequests.end();) {
+        const auto &[request, pending] = *it++;
+        if (now < pending.deadline)
             continue;
-        ++host.counters.changesExpired;
+        ++host.counters.operatorRequestsExpired;
         endRequest(host, request, {0, Errc::Timeout, nullptr}, OperatorEnd::Expired, effects, now);
     }
 }
 
-void resendOperatorCalls(const Host &host, HostEffects &effects)
+void resendOperatorRequests(const Host &host, HostEffects &effects)
 {
-    for (const auto &[request, change] : host.operatorCalls) {
-        if (change.step != ChangeStep::CheckingOperator)
-            effects.push_back(SendControl{change.call});
+    for (const auto &[request, pending] : host.operatorRequests) {
+        if (pending.step != OperatorStep::CheckingOperator)
+            effects.push_back(SendControl{pending.call});
     }
 }
 
--- a/src/tests/overtaken_change_test.cpp
+++ b/src/tests/overtaken_change_test.cpp
@@ -277,8 +277,8 @@
     world.heal(0);
     world.runFor(SETTLE);
     cr_expect(!world.state(zone));
-    cr_expect_eq(world.simulation.hosts[0].host.counters.changesAbandoned, 1);
-    cr_expect(world.simulation.hosts[0].host.operatorCalls.empty());
+    cr_expect_eq(world.simulation.hosts[0].host.counters.operatorRequestsAbandoned, 1);
+    cr_expect(world.simulation.hosts[0].host.operatorRequests.empty());
 }
 
 // Guards against: orders that stay in the memory of a host without a leader, and are all sent
@@ -293,8 +293,8 @@
         world.send(0, zone, true);
     world.runFor(OPERATOR_PATIENCE);
     const Host &host = world.simulation.hosts[0].host;
-    cr_expect(host.operatorCalls.empty());
-    cr_expect_eq(host.counters.changesExpired, ORDERS);
+    cr_expect(host.operatorRequests.empty());
+    cr_expect_eq(host.counters.operatorRequestsExpired, ORDERS);
     cr_expect_eq(world.answers.size(), ORDERS);
     world.heal(0);
     world.runFor(SETTLE);
