Add: [Tests] An order that arrives at the leader late is overtaken, with real daemons

A relay holds what a host has sent for 5 s, before the question for the version or after its answer; the host stands still meanwhile and others get newer orders acknowledged.

--- a/src/tests/system/scenarios.py
+++ b/src/tests/system/scenarios.py
@@ -37,6 +37,8 @@
       "leader_handed_over_while_an_order_arrives_late",
       "stopped_daemon_carries_out_no_overtaken_order"}
 SET_ZONE = 3  # Index of SetZone in OperatorBody, see src/link/link_type.h.
+LATE_S = 5.0  # Delay of an order on a link, in which others carry out newer ones.
+ANSWER_DELAY_S = 0.3  # Delay of the leader's answer, which still comes in time.
 OPERATOR_TIMEOUT_S = 8  # Time after which a daemon gives up an operator's request.
 SOAK_SEED = 3
 SOAK_SECONDS = 8
@@ -358,6 +360,60 @@
                            out=True, keeps_connection=True)
 
 
+def delay_order(site, report, out, answered):
+    """An order waits between its host and the leader while others carry it out, and its opposite.
+
+    With answered, the leader answers the question for the version, and what follows waits.
+    """
+    late, others = site.hosts[-1], site.hosts[:-1]
+    words = ("in", "out") if out else ("out", "in")
+
+    def is_out():
+        return site.ctl("status", hosts=others)[1]["zones"]["z1"]["out"]
+
+    def set_delay(seconds, direction="in"):
+        for _, relay in site.relays.values():
+            relay.delay, relay.delayed_directions = seconds, (direction,)
+    site.ctl("zone", words[1], "z1", hosts=others)
+    site.ctl("status", hosts=[late])  # The link of the late host stands.
+    begin = time.monotonic()
+    set_delay(ANSWER_DELAY_S if answered else LATE_S, "out" if answered else "in")
+    connection = send_zone_order(f"127.0.0.1:{site.ports[late][1]}", f"late-{time.time_ns()}",
+                                 "z1", not out)
+    if answered:
+        time.sleep(ANSWER_DELAY_S / 2)
+        set_delay(LATE_S)
+    time.sleep(ANSWER_DELAY_S)
+    site.signal(late, signal.SIGSTOP)  # What has left is on its way; nothing more follows.
+    connection.close()
+    set_delay(0)
+    accepted = [site.ctl("zone", word, "z1", hosts=others)[0] == 0 for word in words]
+    in_time = time.monotonic() - begin < LATE_S
+    report.check(RECOVERY, all(accepted) and in_time, f"{accepted}, {in_time}")
+    undone = wait_for(lambda: is_out() != out, begin + LATE_S + 2 - time.monotonic(), 0.1)
+    site.signal(late, signal.SIGCONT)
+    undone = undone or wait_for(lambda: is_out() != out, 2, 0.1)
+    report.check(OVERTAKEN, undone is None, f"out {out}, answered {answered}")
+
+
+def scenario_order_delayed_on_the_way_to_the_leader_is_overtaken(build, report, seed):
+    """What a host has sent to the leader arrives after newer orders of other hosts.
+
+    Guards against an order that is carried out since it had left its host in time. The seed is the
+    number of rounds.
+    """
+    import soak  # pylint: disable=import-outside-toplevel
+    site = soak.SoakSite(build, hosts=4)
+    try:
+        site.set_up()
+        for _ in range(seed):
+            for out in (True, False):
+                for answered in (False, True):
+                    delay_order(site, report, out, answered)
+    finally:
+        site.close()
+
+
 def scenario_target_leaves(build, report, seed):
     """An operator makes a target leave under load."""
     with running(build, calendars=2) as site:
