Add: [Tests] A resend whose first outcome is forgotten is refused

It passes on and guards against a resend that is executed again after more changes than are recorded.

--- a/src/tests/overtaken_change_test.cpp
+++ b/src/tests/overtaken_change_test.cpp
@@ -624,6 +624,19 @@
     cr_expect(!cluster.view.zones.at(ZoneId("z")).out);
 }
 
+// Guards against: a resend that is executed again after so many other changes that the first
+// outcome is forgotten.
+Test(overtaken_change, resend_whose_first_outcome_is_forgotten_is_refused)
+{
+    Cluster cluster;
+    const Command first = setZone("first", true, Version(0));
+    cr_assert_eq(apply(cluster, first).error, Errc::Ok);
+    for (std::size_t i = 0; i <= MAX_RECORDED_CHANGES; ++i)
+        apply(cluster, setZone(std::to_string(i), false, zoneVersion(cluster)));
+    cr_expect_eq(apply(cluster, first).error, Errc::VersionConflict);
+    cr_expect(!cluster.view.zones.at(ZoneId("z")).out);
+}
+
 // Guards against: a log of an earlier release that leads to other versions than it did there.
 Test(overtaken_change, changes_without_a_base_are_applied_as_before)
 {
