Codechange: [Control] [Link] [Duty] Fields and entry points that the parts of the work plan share

Reports and grants get fields at their end for usage windows, the time of day and forecasts of loads; accounts get a rank and services the bounds of their number of targets. Nothing sets them yet.

--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -6,6 +6,7 @@
 #include "core/time_type.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,12 +35,14 @@
     bool limitsRequests = true; ///< Whether the request budget is enforced.
     bool limitsTokens = true; ///< Whether the token budget is enforced.
     std::int64_t tokensOfPlainCall = 0; ///< Tokens charged for a route call that declares none.
+    std::optional<int> priority; ///< Rank of the account's requests, 0 first; empty: the route's.
 
     friend bool operator==(const Account &, const Account &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Account, id, requestsPerSecond, requestBurst,
                                                 tokensPerSecond, tokenBurst, weight, models, routes,
-                                                limitsRequests, limitsTokens, tokensOfPlainCall)
+                                                limitsRequests, limitsTokens, tokensOfPlainCall,
+                                                priority)
 
 /** An API key of an account; the secret itself is never stored. */
 struct Key
@@ -86,6 +89,17 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RouteShare, service, weight)
 
+/** Bounds of the number of targets of a service in each availability zone. */
+struct TargetCountBounds
+{
+    int least = 0;
+    int most = 0;
+    double startSeconds = 0; ///< Time from the order of a target until it serves.
+
+    friend bool operator==(const TargetCountBounds &, const TargetCountBounds &) = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetCountBounds, least, most, startSeconds)
+
 /** Operator settings for all targets of one service. */
 struct ServicePolicy
 {
@@ -95,11 +109,14 @@
     int adapterSlots = 0; ///< Adapters that one engine can have loaded; 0: no limit.
     bool ramps = true; ///< Whether the concurrency limit of a new target is raised gradually.
     double storeLoadsPerSecond = 0; ///< Rate limit of loads from the weight store; 0: the default.
+    /** Set if the number of targets is ordered from the infrastructure. */
+    std::optional<TargetCountBounds> targetCount;
 
     friend bool operator==(const ServicePolicy &, const ServicePolicy &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServicePolicy, id, coldStartsPerSecond, memoryMb,
-                                                adapterSlots, ramps, storeLoadsPerSecond)
+                                                adapterSlots, ramps, storeLoadsPerSecond,
+                                                targetCount)
 
 /** A named path whose requests are forwarded to a service. */
 struct Route
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -301,6 +301,8 @@
     continueMemberChange(control, effects, now);
     maintainMembers(control, effects, now);
     runPlacement(control, effects, now);
+    runUsage(control, effects, now);
+    runTargetCounts(control, effects, now);
 }
 
 void onTick(Control &control, ControlEffects &effects, TimePoint now)
@@ -481,6 +483,8 @@
         onTick(control, effects, now);
     else if (std::holds_alternative<ApplyCommittedEvent>(event))
         applyReplicaEffects(control, applyCommitted(control.replica), effects, now);
+    else if (const auto *reply = std::get_if<DutyReplyEvent>(&event))
+        onDutyReply(control, *reply, effects, now);
     else
         applyReplicaEffects(control, transferLeadership(control.replica), effects, now);
     return effects;
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -251,6 +251,7 @@
     std::optional<Leadership> leadership;
     PlannerTuning tuning; ///< Copied to the planner at the start of each leadership.
     RateLeeway leeway;
+    DutySettings duties;
     int desiredVoterCount
         = 0; ///< Desired number of voters; 0: only operators change the membership.
     TimePoint now; ///< Time of the last event.
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -166,4 +166,31 @@
 void answerJoinedRequests(Control &control, const std::vector<CallId> &calls,
                           ControlEffects &effects);
 
+/**
+ * Proposes to grant the duty to this leader unless it has been granted to it.
+ * @return The fencing token of the grant; nothing until it is applied, and while calls of an
+ * earlier leader may be on their way.
+ */
+std::optional<FencingToken> holdDuty(Control &control, const DutyKey &duty, ControlEffects &effects,
+                                     TimePoint now);
+
+/**
+ * Makes a call of a duty that this leader holds, if the pace of the calls allows one now.
+ * @return Id of the call, which its reply repeats; nothing if no call may be made now.
+ */
+std::optional<std::uint64_t> makeDutyCall(Control &control, const DutyKey &duty,
+                                          FencingToken fencing,
+                                          std::variant<UsageReport, TargetCountOrder> body,
+                                          ControlEffects &effects, TimePoint now);
+
+/** Records, fixes and reports usage windows as they are due. */
+void runUsage(Control &control, ControlEffects &effects, TimePoint now);
+
+/** Orders the number of targets of services as it is due. */
+void runTargetCounts(Control &control, ControlEffects &effects, TimePoint now);
+
+/** Handles the infrastructure's reply to a call of a duty. */
+void onDutyReply(Control &control, const DutyReplyEvent &reply, ControlEffects &effects,
+                 TimePoint now);
+
 } // namespace bilberry
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "consensus/replica_type.h"
+#include "duty/duty_type.h"
 #include "link/link_type.h"
 #include "placement/planner_func.h"
 
@@ -61,9 +62,9 @@
 {
 };
 
-using ControlEvent
-    = std::variant<ReplicaMessageEvent, HostMessageEvent, SyncedEvent, OrderReplyEvent,
-                   ControlTickEvent, ControlShutdownEvent, InspectionEvent, ApplyCommittedEvent>;
+using ControlEvent = std::variant<ReplicaMessageEvent, HostMessageEvent, SyncedEvent,
+                                  OrderReplyEvent, ControlTickEvent, ControlShutdownEvent,
+                                  InspectionEvent, ApplyCommittedEvent, DutyReplyEvent>;
 
 /** Records to write in this order and sync; @c afterSync is sent after the sync. */
 struct JournalWrite
@@ -119,6 +120,7 @@
     std::vector<OutgoingControlMessage> toHosts;
     std::vector<SendOrder> orders;
     std::vector<InspectTarget> inspections;
+    std::vector<DutyCall> dutyCalls;
     std::vector<ControlLogEvent> logEvents;
     bool roleChanged = false;
 };
--- /dev/null
+++ b/src/control/target_count_cmd.cpp
@@ -0,0 +1,8 @@
+/** @file target_count_cmd.cpp Orders the number of targets of services. */
+#include "control/control_internal.h"
+
+namespace bilberry {
+
+void runTargetCounts(Control &, ControlEffects &, TimePoint) { }
+
+} // namespace bilberry
--- a/src/daemon/decision_load.cpp
+++ b/src/daemon/decision_load.cpp
@@ -22,6 +22,7 @@
     std::string operator()(const ControlTickEvent &) const { return "tick"; }
     std::string operator()(const ApplyCommittedEvent &) const { return "apply"; }
     std::string operator()(const ControlShutdownEvent &) const { return "shutdown"; }
+    std::string operator()(const DutyReplyEvent &) const { return "dutyReply"; }
 };
 
 std::int64_t toMicroseconds(Duration d)
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -256,7 +256,7 @@
         if (now < tickDue)
             continue;
         tickDue = now + TICK_INTERVAL;
-        this->handle(TickEvent{});
+        this->handle(TickEvent{WallClock::unixMs()});
         this->link->openIfDue(now);
         const bool isNowReady = isReady(this->host, now);
         // Callers' connections are refused until the host knows API keys and targets, so that a
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -37,10 +37,11 @@
     /** Time for which keys, zones and targets stay valid, counted from the sending of the latest
      * report that the leader has answered. */
     Duration freshnessLease = FRESHNESS_LEASE;
+    Duration usageWindow{}; ///< Length of a usage window; 0: usage is not counted.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostSettings, holder, zone, entry, member,
                                                 maxWaiting, retryBurst, retryShare, reportInterval,
-                                                drain, freshnessLease, grace)
+                                                drain, freshnessLease, grace, usageWindow)
 
 enum class RequestState {
     WaitingForBudget, ///< Waits for the account's request or token budget.
@@ -107,13 +108,16 @@
     std::uint64_t originEpoch = 0;
     Version originRegistry;
     bool heldByRate = false; ///< The request has waited for a target's request rate.
+    int rank = 0; ///< Rank of the request, 0 first; 0 unless ranks are in use.
+    TimePoint goalAt; ///< Time by which the answer should begin; unset if the route has no goal.
+    bool countedInUsage = false; ///< The request has been counted in a usage window.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     Request, asked, account, group, workClass, repeatable, recorded, recordOwned, state, estimate,
     charged, arrived, admittedAt, deadline, waitUntil, queuedAt, firstDispatchAt, dispatchedAt,
     attempt, correlation, target, targetStart, attempts, runs, mostRuns, resumable, tried, maySent,
     callerGone, eventsRelayed, suspected, begunAt, beginCounted, trialUntil, heldByRate, origin,
-    proposedOrigin, originRevision, originEpoch, originRegistry)
+    proposedOrigin, originRevision, originEpoch, originRegistry, rank, goalAt, countedInUsage)
 
 /** A lost request that the leader's present suspicions may rest on. */
 struct HeldLoss
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -193,12 +193,9 @@
 /** The periodic timer fired. */
 struct TickEvent
 {
+    std::int64_t unixMs = 0; ///< Time of day of the host, which may jump; 0: not stated.
 };
-inline void to_json(nlohmann::json &j, const TickEvent &)
-{
-    j = nlohmann::json::object();
-}
-inline void from_json(const nlohmann::json &, TickEvent &) { }
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TickEvent, unixMs)
 
 /** The daemon was asked to shut down gracefully. */
 struct ShutdownEvent
@@ -292,13 +289,14 @@
     bool holdFailures = false; ///< Server errors are withheld from the caller, for a retry.
     bool reportBegin = false; ///< ResponseBegan is to be reported.
     bool reportStatement = false; ///< TargetStated is to be reported, also if it states nothing.
+    std::optional<int> urgency; ///< Urgency for an engine's queue, 0 first; empty: not stated.
     RequestWaits waits;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
                                                 remaining, deadline, sendBy, firstByteLimit,
                                                 interByteLimit, freshConnection, keepAnswer,
                                                 correlation, resumeAfter, account, holdFailures,
-                                                reportBegin, reportStatement, targetStart)
+                                                reportBegin, reportStatement, targetStart, urgency)
 
 /** Cancels a running attempt; its AttemptEnded still follows. */
 struct CancelAttempt
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -3,6 +3,7 @@
 
 #include "account/leased_pool_base.h"
 #include "call/call_type.h"
+#include "duty/duty_type.h"
 #include "quarantine/crash_type.h"
 #include "state/cluster_base.h"
 #include "target/registry_base.h"
@@ -48,8 +49,17 @@
 {
     AccountId account;
     int demand = 0; ///< Number of requests.
+    int rank = 0; ///< Rank of the requests, 0 first; 0 unless ranks are in use.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountDemand, account, demand)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountDemand, account, demand, rank)
+
+/** Requests that began to run at a host in one usage window, in totals of the host run. */
+struct WindowUse
+{
+    WindowId window = 0;
+    std::vector<AccountDemand> accounts;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WindowUse, window, accounts)
 
 /** Use of one target's slots by a host; a slot allows one concurrent request. */
 struct SlotUse
@@ -157,13 +167,17 @@
     std::vector<RateUse> rates; ///< Targets with a limited request rate.
     /** Targets that have stated in an answer that they leave, unless the leader knows it. */
     std::vector<std::pair<TargetId, Incarnation>> statedLeaving;
+    std::int64_t unixMs = 0; ///< Time of day of the host at @c sentAt; 0: not stated.
+    std::vector<WindowUse> usage; ///< Totals that the leader has not confirmed as recorded.
+    std::uint64_t forecastsVersion = 0; ///< HostGrant::forecastsVersion known to the host.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostReport, holder, zone, sequence, sentAt, term,
                                                 table, registryEpoch, registry, membershipIndex,
                                                 suspectsVersion, leaving, entry, member, accounts,
                                                 slots, variants, targets, alive, targetsLeft,
                                                 suspicions, cleared, lostRequests, answeredParts,
-                                                trialsWanted, rates, statedLeaving)
+                                                trialsWanted, rates, statedLeaving, unixMs, usage,
+                                                forecastsVersion)
 
 /** Asks the leader to record a call before its dispatch, or for the outcome of a recorded call. */
 struct CallQuery
@@ -294,6 +308,14 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RateGrant, target, start, requests, wait, interval)
 
+/** Expected time until a variant that no target holds is loaded for the first time. */
+struct LoadForecast
+{
+    Variant variant;
+    Duration left{}; ///< As of the grant that carries it.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LoadForecast, variant, left)
+
 /** Answer of the leader to a report. */
 struct HostGrant
 {
@@ -319,11 +341,20 @@
     std::vector<SuspectedPart> suspectedParts; ///< Parts of prompts that may crash targets.
     std::vector<PromptPart> trials; ///< Parts with which the host may dispatch one request each.
     std::vector<RateGrant> rates; ///< For the targets in HostReport::rates.
+    std::int64_t unixMs = 0; ///< True time of day at @c sentAt; 0: the leader does not know it.
+    /** Sequence number of the latest report of the host whose usage is in the replicated log. */
+    std::uint64_t usageRecordedIn = 0;
+    WindowId usageFixedUpTo = 0; ///< Usage windows up to this one take no further counts.
+    std::uint64_t forecastsVersion = 0; ///< Current version of the leader's forecasts.
+    /** All forecasts; set only if the host knows another version. */
+    std::optional<std::vector<LoadForecast>> forecasts;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostGrant, sequence, sentAt, term, table, registry,
                                                 accounts, slots, membershipIndex, controlHosts,
                                                 clock, suspectsVersion, suspects, unknownTargets,
-                                                hostCount, hostRank, suspectedParts, trials, rates)
+                                                hostCount, hostRank, suspectedParts, trials, rates,
+                                                unixMs, usageRecordedIn, usageFixedUpTo,
+                                                forecastsVersion, forecasts)
 
 /** Answer to CallQuery: verdict on a call, or the outcome of a call that the request joined. */
 struct CallAnswer
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -61,7 +61,15 @@
 };
 template <> struct Fields<AccountDemand>
 {
-    static auto of(auto &v) { return std::tie(v.account, v.demand); }
+    static auto of(auto &v) { return std::tie(v.account, v.demand, v.rank); }
+};
+template <> struct Fields<WindowUse>
+{
+    static auto of(auto &v) { return std::tie(v.window, v.accounts); }
+};
+template <> struct Fields<LoadForecast>
+{
+    static auto of(auto &v) { return std::tie(v.variant, v.left); }
 };
 template <> struct Fields<SlotUse>
 {
@@ -126,7 +134,8 @@
                         v.registry, v.membershipIndex, v.suspectsVersion, v.leaving, v.entry,
                         v.member, v.accounts, v.slots, v.variants, v.targets, v.alive,
                         v.targetsLeft, v.suspicions, v.cleared, v.lostRequests, v.answeredParts,
-                        v.trialsWanted, v.rates, v.statedLeaving);
+                        v.trialsWanted, v.rates, v.statedLeaving, v.unixMs, v.usage,
+                        v.forecastsVersion);
     }
 };
 template <> struct Fields<RegistryDelta>
@@ -151,7 +160,8 @@
         return std::tie(v.sequence, v.sentAt, v.term, v.registry, v.accounts, v.slots,
                         v.membershipIndex, v.controlHosts, v.clock, v.suspectsVersion, v.suspects,
                         v.unknownTargets, v.hostCount, v.hostRank, v.suspectedParts, v.trials,
-                        v.rates);
+                        v.rates, v.unixMs, v.usageRecordedIn, v.usageFixedUpTo, v.forecastsVersion,
+                        v.forecasts);
     }
 };
 
