Add: [Tests] Strict stand-in of the infrastructure, and a scenario of its duties

The infrastructure takes two reports of a window or a lower fencing token without a word, so that a fault of ours shows nowhere but in a check.

--- a/src/tests/system/platform_stand_in.py
+++ b/src/tests/system/platform_stand_in.py
@@ -11,7 +11,7 @@
 
 import fleet
 
-CONTROL_IP = "127.0.0.2"
+CONTROL_IPS = ["127.0.0.2", "127.0.0.4", "127.0.0.5"]
 ENTRY_IP = "127.0.0.3"
 PREFIX = "X-Bilberrybend-"
 EVENT_COUNT = 5
@@ -23,9 +23,9 @@
 
     daemon_threads = True
 
-    def __init__(self, control):
+    def __init__(self, site):
         super().__init__(("127.0.0.1", 0), EngineHandler)
-        self.control = control
+        self.site = site
         self.received = []
         self.sequence = 0
         self.incarnation = int(time.time() * 1000)
@@ -40,7 +40,7 @@
                      "stage": "colocated", "seqNo": self.sequence, "born": self.incarnation,
                      "models": [{"name": "m", "version": 1, "adapters": []}],
                      "atHand": {"inMemory": ["m"], "onDisk": ["m"]}}
-            fleet.http("POST", self.control, "/instances/i-1/heartbeat",
+            fleet.http("POST", self.site.control, "/instances/i-1/heartbeat",
                        json.dumps(state).encode(), {"Content-Type": "application/json"})
             time.sleep(HEARTBEAT_INTERVAL_S)
 
@@ -106,34 +106,67 @@
 
 
 class PlatformSite:
-    """One control daemon and one entry daemon that use the platform's protocol."""
+    """Control daemons and one entry daemon that use the platform's protocol."""
 
-    def __init__(self, build):
+    def __init__(self, build, controls=1, control_settings=None, entry_settings=None):
+        self.build = build
         self.run_dir = tempfile.mkdtemp(prefix="bb-")
         callers, ready, control, operators, peers = fleet.free_ports(5)
+        ips = CONTROL_IPS[:controls]
         self.callers = f"{ENTRY_IP}:{callers}"
         self.ready = f"{ENTRY_IP}:{ready}"
-        self.control = f"{CONTROL_IP}:{control}"
         common = {"zone": "z1", "edge": "platform", "drainMs": 300,
-                  "controlSeeds": [self.control]}
-        self.processes = []
-        self.start(build, dict(common, host="control", entry=False, control=True, found=True,
-                               voters=1, dataFolder=f"{self.run_dir}/data", targets=self.control,
-                               operators=f"{CONTROL_IP}:{operators}",
-                               peers=f"{CONTROL_IP}:{peers}"))
-        self.start(build, dict(common, host="entry", entry=True, control=False,
-                               callers=self.callers, readiness=self.ready,
-                               operators=f"{ENTRY_IP}:{operators}", peers=f"{ENTRY_IP}:{peers}"))
-        self.engine = Engine(self.control)
-
-    def start(self, build, settings):
-        path = f"{self.run_dir}/{settings['host']}.json"
-        with open(path, "w", encoding="utf-8") as out:
+                  "controlSeeds": [f"{ip}:{control}" for ip in ips]}
+        self.processes = {}
+        self.controls = {}  # Name of each control daemon: its address for engines and operators.
+        self.operators = {}  # Name of each control daemon: its operators' port.
+        for i, ip in enumerate(ips):
+            name = f"control{i + 1}"
+            self.controls[name] = f"{ip}:{control}"
+            self.operators[name] = f"{ip}:{operators}"
+            self.start(dict(common, host=name, entry=False, control=True, found=True,
+                            voters=controls, dataFolder=f"{self.run_dir}/{name}-data",
+                            targets=self.controls[name], operators=self.operators[name],
+                            peers=f"{ip}:{peers}", **(control_settings or {})))
+        self.start(dict(common, host="entry", entry=True, control=False,
+                        callers=self.callers, readiness=self.ready,
+                        operators=f"{ENTRY_IP}:{operators}", peers=f"{ENTRY_IP}:{peers}",
+                        **(entry_settings or {})))
+        self.engine = Engine(self)
+
+    @property
+    def control(self):
+        """Address of a control daemon that runs."""
+        return next((address for name, address in self.controls.items() if self.alive(name)),
+                    next(iter(self.controls.values())))
+
+    def alive(self, name):
+        return self.processes[name].poll() is None
+
+    def start(self, settings):
+        with open(f"{self.run_dir}/{settings['host']}.json", "w", encoding="utf-8") as out:
             json.dump(settings, out)
-        log = open(f"{self.run_dir}/{settings['host']}.log", "ab")
-        self.processes.append(subprocess.Popen(
-            [os.path.abspath(f"{build}/bilberrybendd"), "--settings", path], stdout=log,
-            stderr=log))
+        self.start_process(settings["host"])
+
+    def start_process(self, name):
+        log = open(f"{self.run_dir}/{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [os.path.abspath(f"{self.build}/bilberrybendd"), "--settings",
+             f"{self.run_dir}/{name}.json"], stdout=log, stderr=log)
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def leader(self):
+        """Returns the name of the control daemon that reports itself as leader, or None."""
+        for name, address in self.operators.items():
+            if not self.alive(name):
+                continue
+            status, _, body = fleet.http("GET", address, "/member", timeout=1)
+            if status == 200 and json.loads(body)["leads"]:
+                return name
+        return None
 
     def replace_config(self, document):
         body = document if isinstance(document, bytes) else json.dumps(document).encode()
@@ -158,7 +191,7 @@
         return answer
 
     def close(self):
-        for process in self.processes:
+        for process in self.processes.values():
             process.kill()
             process.wait()
         self.engine.shutdown()
--- a/src/tests/system/scenarios.py
+++ b/src/tests/system/scenarios.py
@@ -9,6 +9,7 @@
 import time
 
 from platform_stand_in import EVENT_COUNT, PREFIX, PlatformSite, platform_config
+from infrastructure_stand_in import Infrastructure
 from fleet import Relay, Site, default_config, free_ports, http, wait_for
 
 OWN_ANSWER = "each caller gets the complete answer to its own request"
@@ -30,16 +31,25 @@
 FAIRNESS = "no account starves another"
 QUARANTINE = "only a request that crashes its targets is quarantined"
 TARGET_RATE = "no target gets more requests a second than it states"
+USAGE = "each usage window is reported once or repeated exactly"
+DUTIES = "calls to the infrastructure keep to its rules"
+TARGET_COUNT = "the ordered number of targets follows bounds and demand"
 RECOVERY = "service recovers after the failure"
 
 CI = {"unrepeatable_with_lost_answers", "not_run_is_true", "operators_race", "cold_burst",
       "key_withdrawn", "platform_whole_path", "short_soak", "stated_request_rate",
       "leader_handed_over_while_an_order_arrives_late",
-      "stopped_daemon_carries_out_no_overtaken_order"}
+      "stopped_daemon_carries_out_no_overtaken_order", "duties_while_leader_and_interface_fail",
+      "interface_stand_in_is_strict"}
 SET_ZONE = 3  # Index of SetZone in OperatorBody, see src/link/link_type.h.
 LATE_S = 5.0  # Delay of an order on a link, in which others carry out newer ones.
 ANSWER_DELAY_S = 0.3  # Delay of the leader's answer, which still comes in time.
 OPERATOR_TIMEOUT_S = 8  # Time after which a daemon gives up an operator's request.
+USAGE_TOLERANCE = 0.05  # Counts must be within 5 % of the truth.
+USAGE_CALL_INTERVAL_S = 0.02
+FAULTY_S = 16  # Faults of the interface, with the leader killed twice meanwhile.
+LEADER_KILLS_S = (3, 10)
+REPORTED_S = 20  # A new leader makes its first call some seconds after its election.
 SOAK_SEED = 3
 SOAK_SECONDS = 8
 IN_FORCE_S = 2.5  # 2 s until a change is in force, and the run time of bilberryctl.
@@ -792,3 +802,102 @@
                      "the zone does not serve after it was put back in")
     finally:
         site.close()
+
+
+def scenario_duties_while_leader_and_interface_fail(build, report, seed):
+    """Usage windows and an order for targets, while the interface is slow, throttles, resets or is
+    silent and the leader is killed twice; see infrastructure_stand_in.py."""
+    interface = Infrastructure(window_s=1, bounds={"llm": (2, 4)}, seed=seed)
+    window = {"usageWindowSeconds": 1, "duties": ["usage", "autoscale"]}
+    site = PlatformSite(build, controls=3, entry_settings=window, control_settings=dict(
+        window, usageDueSeconds=2, infrastructure=interface.address,
+        infrastructureCallsPerSecond=50))
+    try:
+        config = platform_config(4)
+        # One engine runs: the least number is ordered in any case.
+        config["services"][0]["scale"] = {"min": 2, "max": 4, "bootS": 0.5}
+        report.check(CONFIG, wait_for(lambda: site.replace_config(config) == 200, 10) is not None,
+                     "configuration not accepted")
+        report.check(RECOVERY, wait_for(lambda: site.call("/chat/warm")[0] == 200, 15) is not None,
+                     "no stream is served")
+        # The calls until here fall into windows that are not counted below.
+        first = int(time.time()) + 1
+        time.sleep(first + 1 - time.time())
+        interface.faulty = True
+        served, kills, begin = 0, list(LEADER_KILLS_S), time.monotonic()
+        killed = None
+        while (elapsed := time.monotonic() - begin) < FAULTY_S:
+            path = "/chat/a" if served % 2 else "/hold/a"
+            served += site.call(path)[0] == 200
+            if kills and elapsed > kills[0] and (leader := site.leader()):
+                kills.pop(0)
+                if killed:
+                    site.start_process(killed)
+                site.kill(leader)
+                killed = leader
+            time.sleep(USAGE_CALL_INTERVAL_S)
+        last = int(time.time())
+        report.check(RECOVERY, not kills, f"no leader to kill {kills}")
+        site.start_process(killed)
+        interface.faulty = False
+        done = wait_for(lambda: (interface.last_window() or 0) > last
+                        and not interface.missing_windows(), REPORTED_S, 0.2)
+        report.check(USAGE, done is not None,
+                     f"windows {interface.missing_windows()} are missing up to "
+                     f"{interface.last_window()}, wanted {first} to {last}")
+        with interface.lock:
+            counted = sum(counts.get("tengri", 0) for number, counts in interface.accepted.items()
+                          if number > first)
+            report.check(USAGE, min(interface.accepted, default=last) <= first + 1,
+                         f"the first report is that of {min(interface.accepted, default=None)}")
+        report.check(USAGE, served > 0 and abs(counted - served) <= USAGE_TOLERANCE * served,
+                     f"{counted} requests reported, {served} served")
+        ordered = wait_for(lambda: interface.orders, REPORTED_S)
+        report.check(TARGET_COUNT, ordered is not None
+                     and set(interface.orders) == {("llm", "z1", 2)}, f"{interface.orders}")
+        report.check(DUTIES, not interface.breaches, f"{interface.breaches[:5]}")
+        used = {name for name, count in interface.answers.items() if count}
+        report.check(DUTIES, len(used - {"prompt"}) >= 3, f"few faults: {interface.answers}")
+    finally:
+        site.close()
+        interface.shutdown()
+
+
+def scenario_interface_stand_in_is_strict(build, report, seed):
+    """Guards against a stand-in of the infrastructure that lets a breach of its rules pass."""
+    del build
+
+    def breaches(*calls, **options):
+        """Makes calls (path, holder, token, body). Returns the statuses and the breaches."""
+        interface = Infrastructure(window_s=1, bounds={"s": (1, 3)}, seed=seed, **options)
+        statuses = []
+        for path, holder, token, body in calls:
+            headers = {"Content-Type": "application/json", PREFIX + "Duty-Holder": holder,
+                       PREFIX + "Fencing-Token": token}
+            statuses.append(http("POST", interface.address, path, json.dumps(body).encode(),
+                                 headers)[0])
+        interface.shutdown()
+        return statuses, len(interface.breaches)
+
+    def usage(window, count, holder="a", token="1"):
+        return "/usage", holder, token, {"windowId": window, "counts": {"t": count}}
+
+    def scale(desired, holder="a", token="1", zone="z"):
+        return "/scale", holder, token, {"service": "s", "zone": zone, "desired": desired}
+
+    good = [[usage(5, 1), usage(5, 1), usage(6, 2, "b", "2"), usage(6, 2, "b", "2")],
+            [scale(1), scale(2), scale(1), scale(2, zone="y"), scale(2, "b", "2", "y")]]
+    for calls in good:
+        report.check(DUTIES, breaches(*calls) == ([200] * len(calls), 0), f"{calls}")
+    bad = [[usage(5, 1), usage(5, 2)],
+           [usage(5, 1, token="2"), usage(6, 1, token="1")],
+           [usage(5, 1), usage(6, 1, "b", "1")],
+           [usage(5, 1), usage(6, 1, "b", "2"), usage(7, 1, "a", "3")],
+           [usage(5, 1), usage(6, 1, "b", "2"), usage(7, 1, "c", "3"), usage(8, 1, "a", "4")],
+           [usage(int(time.time()) + 3, 1)], [usage(5, -1)], [usage(5, 1.5)], [usage(5, True)],
+           [usage(5, 1, token="x")], [usage(5, 1, holder="")], [scale(4)], [scale(0)],
+           [scale(2), scale(2)], [scale(2, zone="")], [("/other", "a", "1", {})]]
+    for calls in bad:
+        report.check(DUTIES, breaches(*calls)[1] == 1, f"{calls}")
+    statuses, count = breaches(usage(5, 1), usage(5, 1), usage(5, 1), calls_per_s=2)
+    report.check(DUTIES, statuses == [200, 200, 429] and count == 1, f"{statuses}")
