Add: [Config] Settings for the infrastructure and its duties

Control members need the address of the interface, its rate, the duties and the times of usage windows; hosts that serve callers the length of a window. All are optional. A template cannot ask whether a list has an entry, so hosts get the duties too and count only for usage.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
+#include <cmath>
 
 namespace bilberry {
 
@@ -13,6 +14,11 @@
 constexpr int MAX_VOTERS = 9;
 constexpr std::int64_t MAX_BODY_BYTES = 1 << 30;
 constexpr std::int64_t MAX_ORDER_SEPARATION_MS = 600'000;
+constexpr double MIN_INFRASTRUCTURE_RATE = 0.1; ///< In calls per second.
+constexpr double MAX_INFRASTRUCTURE_RATE = 1e6; ///< In calls per second.
+constexpr double MIN_USAGE_SECONDS = 0.1;
+constexpr double MAX_USAGE_SECONDS = 86'400;
+constexpr double MS_PER_SECOND = 1'000;
 
 bool isIpAddress(const std::string &text)
 {
@@ -85,6 +91,53 @@
     return name == "platform" ? EdgeKind::Platform : EdgeKind::Native;
 }
 
+/** Reads a time in seconds, rounded to milliseconds. @return 0 if it is missing or invalid. */
+Duration readUsageTime(FieldReader &reader, const std::string &name)
+{
+    const double seconds = reader.readNumber(name, 0, MIN_USAGE_SECONDS, MAX_USAGE_SECONDS);
+    return std::chrono::milliseconds(std::llround(seconds * MS_PER_SECOND));
+}
+
+/** Reads the list of duties. @return Whether the field is present. */
+bool readDuties(FieldReader &reader, Settings &settings)
+{
+    if (reader.readRaw("duties").is_null())
+        return false;
+    for (const std::string &duty : reader.readStringArray("duties", {})) {
+        settings.reportsUsage = settings.reportsUsage || duty == "usage";
+        settings.ordersTargets = settings.ordersTargets || duty == "autoscale";
+        if (duty != "usage" && duty != "autoscale")
+            reader.addProblem("duties", "a list of \"usage\" and \"autoscale\"");
+    }
+    return true;
+}
+
+/** Reads what the daemon does towards the infrastructure. Control members make the calls; hosts
+ * that serve callers only need the length of a window. */
+void readInfrastructure(FieldReader &reader, Settings &settings)
+{
+    settings.infrastructure = readEndpoint(reader, "infrastructure", false);
+    settings.infrastructureCallsPerSecond
+        = reader.readNumber("infrastructureCallsPerSecond", settings.infrastructureCallsPerSecond,
+                            MIN_INFRASTRUCTURE_RATE, MAX_INFRASTRUCTURE_RATE);
+    const bool listsDuties = readDuties(reader, settings);
+    settings.usageWindow = readUsageTime(reader, "usageWindowSeconds");
+    settings.usageDue = readUsageTime(reader, "usageDueSeconds");
+    if (settings.usageDue == Duration::zero())
+        settings.usageDue = 2 * settings.usageWindow;
+    if (!listsDuties)
+        settings.reportsUsage = settings.usageWindow > Duration::zero();
+    if (settings.reportsUsage && settings.usageWindow == Duration::zero())
+        reader.addProblem("usageWindowSeconds", "a number, as duties has \"usage\"");
+    if (!settings.control || !listsDuties || !(settings.reportsUsage || settings.ordersTargets))
+        return;
+    if (settings.infrastructure.port == 0)
+        reader.addProblem("infrastructure", "IP:PORT, as there are duties");
+    // The native interface defines no calls to the infrastructure.
+    if (settings.edge != EdgeKind::Platform)
+        reader.addProblem("edge", "\"platform\", as there are duties");
+}
+
 } // namespace
 
 std::vector<std::string> initialControlAddresses(const Settings &settings)
@@ -140,6 +193,7 @@
         = std::chrono::milliseconds(reader.readInteger("reportIntervalMs", 250, 20, 1'000));
     settings.grace = std::chrono::seconds(reader.readInteger("graceSeconds", 0, 0, 3'600));
     settings.drain = std::chrono::milliseconds(reader.readInteger("drainMs", 5'000, 0, 600'000));
+    readInfrastructure(reader, settings);
     settings.logFile = reader.readString("logFile", "");
     settings.traceFile = reader.readString("traceFile", "");
     reader.reportUnknownFields();
--- a/src/config/settings_type.h
+++ b/src/config/settings_type.h
@@ -67,6 +67,14 @@
     Duration drain = 5s; ///< Time after a shutdown request for which requests are still admitted.
     /** Time after a shutdown request at which the process is killed; 0: it is not. */
     Duration grace{};
+    /** Address of the infrastructure's interface; port 0: the deployment has none. */
+    Endpoint infrastructure;
+    /** Calls per second that the interface takes from all daemons together. */
+    double infrastructureCallsPerSecond = 10;
+    bool reportsUsage = false; ///< Whether requests are counted and reported per usage window.
+    bool ordersTargets = false; ///< Whether the number of targets is ordered.
+    Duration usageWindow{}; ///< Length of a usage window.
+    Duration usageDue{}; ///< Time after the end of a window at which its report is due.
     std::string logFile; ///< Path of the log file; empty: standard error.
     std::string traceFile; ///< File to which decisions are recorded; empty: no recording.
 };
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -127,6 +127,8 @@
     own.reportInterval = settings.reportInterval;
     own.drain = settings.drain;
     own.grace = settings.grace;
+    if (settings.reportsUsage)
+        own.usageWindow = settings.usageWindow;
     this->host = makeHost(own, MonotonicClock::now());
     this->controlAddresses = initialControlAddresses(settings);
     this->seeds = this->controlAddresses;
