--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -6,6 +6,7 @@
 
 #include "core/log_func.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
 #include <random>
 
@@ -53,6 +54,21 @@
     return std::nullopt;
 }
 
+/** @return The duties of the deployment; none without an address of the infrastructure. */
+DutySettings toDutySettings(const Settings &settings)
+{
+    DutySettings duties;
+    if (settings.infrastructure.port == 0)
+        return duties;
+    duties.address = settings.infrastructure.text();
+    duties.callsPerSecond = settings.infrastructureCallsPerSecond;
+    duties.reportsUsage = settings.reportsUsage;
+    duties.ordersTargets = settings.ordersTargets;
+    duties.window = settings.usageWindow;
+    duties.usageDue = settings.usageDue;
+    return duties;
+}
+
 std::vector<JournalBatch> toBatches(const std::vector<JournalWrite> &writes)
 {
     std::vector<JournalBatch> batches;
@@ -98,6 +114,7 @@
     runner->control.leeway = {settings.rateLeeway / 2, settings.burstLeeway / 2};
     runner->control.tuning.prefetches = settings.prefetch;
     runner->control.tuning.orderSeparation = settings.orderSeparation;
+    runner->control.duties = toDutySettings(settings);
     ControlRunner *self = runner.get();
     BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
                           return self->handleFrame(std::move(frame));
@@ -208,8 +225,22 @@
     return event.has_value();
 }
 
+std::string ControlRunner::metrics() const
+{
+    if (this->settings.infrastructure.port == 0)
+        return "";
+    std::string out;
+    for (std::size_t i = 0; i < this->dutyReplies.size(); ++i)
+        absl::StrAppend(&out, "bilberrybend_duty_calls_total{reply=\"",
+                        nlohmann::json(static_cast<DutyReply>(i)).get<std::string>(), "\"} ",
+                        this->dutyReplies[i].load(), "\n");
+    return out;
+}
+
 void ControlRunner::handle(const ControlEvent &event)
 {
+    if (const auto *reply = std::get_if<DutyReplyEvent>(&event))
+        ++this->dutyReplies[static_cast<std::size_t>(reply->reply)];
     const DecisionClock began = readClocks();
     recordPause(this->load, began);
     ControlEffects effects = step(this->control, event, began.wall);
@@ -249,6 +280,11 @@
         if (!this->orders.inspect(std::move(item)))
             this->post(unanswered);
     }
+    for (DutyCall &call : effects.dutyCalls) {
+        const DutyReplyEvent unsent{call.id, DutyReply::Unsent, 0};
+        if (!this->orders.callInfrastructure(std::move(call)))
+            this->post(unsent);
+    }
     if (effects.roleChanged)
         this->updateLeadership();
 }
--- a/src/daemon/control_runner_base.h
+++ b/src/daemon/control_runner_base.h
@@ -10,6 +10,7 @@
 #include "net/peer_client_base.h"
 #include "net/peer_server_base.h"
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -25,11 +26,13 @@
 class ControlRunner
 {
 public:
-    /** Functions that send requests to targets; each returns false if a queue is full. */
+    /** Functions that send requests to targets and to the infrastructure; each returns false if a
+     * queue is full. */
     struct OrderChannel
     {
         std::function<bool(SendOrder)> send; ///< Sends an order.
         std::function<bool(InspectTarget)> inspect; ///< Queries a target's state.
+        std::function<bool(DutyCall)> callInfrastructure; ///< Makes a call of a duty.
     };
 
     /**
@@ -52,6 +55,10 @@
      */
     nlohmann::json dumpState();
 
+    /** @return Counters of the calls to the infrastructure in the Prometheus text format; empty
+     * without an interface. */
+    std::string metrics() const;
+
     /** @return Whether the member is the leader now. */
     bool isLeader() const { return this->leading.load(); }
 
@@ -107,6 +114,9 @@
     std::map<MemberId, std::string> addresses; ///< Peer addresses in the current membership.
     std::map<MemberId, std::string>
         selfReportedAddresses; ///< Peer addresses from the members' own messages.
+    /** Replies to calls to the infrastructure, indexed by DutyReply. */
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(DutyReply::Unsent) + 1>
+        dutyReplies{};
     std::atomic<bool> leading{false}; ///< Whether the member is the leader.
     std::atomic<bool> journalWritable{true}; ///< False while writes to the journal fail.
     std::thread decisionThread;
--- a/src/daemon/host_runner_base.h
+++ b/src/daemon/host_runner_base.h
@@ -44,6 +44,13 @@
     /** Sends an order of the leader to a target. @return False if a queue is full. */
     bool sendOrder(SendOrder order) { return this->targets->sendOrder(std::move(order)); }
 
+    /** Makes a call to the infrastructure. @return False if a queue is full. */
+    bool callInfrastructure(DutyCall call)
+    {
+        return this->targets->callInfrastructure(this->settings.infrastructure.text(),
+                                                 std::move(call));
+    }
+
     /** Queries a target for its state. @return False if a queue is full. */
     bool inspect(InspectTarget item) { return this->targets->inspect(std::move(item)); }
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -221,7 +221,8 @@
         Result<std::unique_ptr<ControlRunner>> started = ControlRunner::start(
             settings,
             {[sender](SendOrder order) { return sender->sendOrder(std::move(order)); },
-             [sender](InspectTarget item) { return sender->inspect(std::move(item)); }});
+             [sender](InspectTarget item) { return sender->inspect(std::move(item)); },
+             [sender](DutyCall call) { return sender->callInfrastructure(std::move(call)); }});
         if (!started)
             return reportStartFailure("control role", started.error());
         control = std::move(started).value();
--- a/src/daemon/operators_port.cpp
+++ b/src/daemon/operators_port.cpp
@@ -42,6 +42,14 @@
     return jsonReply({{"member", roles.control->member()}, {"leads", roles.control->isLeader()}});
 }
 
+std::string metricsOf(const DaemonRoles &roles)
+{
+    std::string out = roles.host->metrics();
+    if (roles.control != nullptr)
+        out += roles.control->metrics();
+    return out;
+}
+
 HttpReply dumpReply(const DaemonRoles &roles)
 {
     nlohmann::json out{{"host", roles.host->dumpState()}};
@@ -81,7 +89,7 @@
     if (request.path == "/readyz")
         return readinessReply(roles);
     if (request.path == "/metrics")
-        return {200, "text/plain; version=0.0.4", roles.host->metrics()};
+        return {200, "text/plain; version=0.0.4", metricsOf(roles)};
     if (request.path == "/dump")
         return dumpReply(roles);
     if (request.path == "/member")
--- a/src/duty/duty_type.h
+++ b/src/duty/duty_type.h
@@ -69,6 +69,13 @@
     Unsent, ///< No byte of the call has left.
 };
 
+NLOHMANN_JSON_SERIALIZE_ENUM(DutyReply,
+                             {{DutyReply::Accepted, "accepted"},
+                              {DutyReply::Throttled, "throttled"},
+                              {DutyReply::Refused, "refused"},
+                              {DutyReply::Unknown, "unknown"},
+                              {DutyReply::Unsent, "unsent"}})
+
 /** Reply to a DutyCall. */
 struct DutyReplyEvent
 {
--- a/src/net/edge_type.h
+++ b/src/net/edge_type.h
@@ -62,7 +62,7 @@
     HttpFraming, ///< HTTP framing alone: length, last chunk, or orderly close of the connection.
 };
 
-/** Order to a target, encoded as an HTTP request. */
+/** Order to a target or call to the infrastructure, encoded as an HTTP POST request. */
 struct EncodedOrder
 {
     std::string path;
@@ -102,6 +102,11 @@
     std::string (*inspectionPath)();
     /** Parses a target's report on its accepted orders. @return Nothing if @p body is malformed. */
     std::optional<TargetInspection> (*readInspection)(const std::string &body);
+    /**
+     * Encodes a call to the infrastructure's interface; null if the protocol defines no such calls.
+     * @param holder Id of the host that makes the call. Equal calls have equal bodies.
+     */
+    EncodedOrder (*encodeDutyCall)(const DutyCall &call, const std::string &holder);
     /** Handles a request that a target sends to the daemon; may block. */
     HttpReply (*answerTarget)(const DaemonRoles &roles, const HttpRequest &request);
     /** Handles the readiness probe of a load balancer. */
--- a/src/net/native_edge.cpp
+++ b/src/net/native_edge.cpp
@@ -144,6 +144,7 @@
                            &encodeOrder,
                            &inspectionPath,
                            &readInspection,
+                           nullptr, // This interface defines no calls to the infrastructure.
                            &answerTarget,
                            &answerReadiness};
     return edge;
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -40,8 +40,15 @@
     AttemptId attempt;
 };
 
+/** Task: makes a call to the infrastructure. */
+struct CallInfrastructure
+{
+    std::string address; ///< "ip:port" of the infrastructure's interface.
+    DutyCall call;
+};
+
 using Task = std::variant<StartAttempt, Cancel, RetireIdleConnections, Unpause, SendOrder,
-                          InspectTarget, CallBack>;
+                          InspectTarget, CallBack, CallInfrastructure>;
 
 } // namespace
 
@@ -184,6 +191,19 @@
         this->begin(ControlTransfer::makeInspection(item, path));
     }
 
+    void handle(const CallInfrastructure &task)
+    {
+        const TimePoint now = MonotonicClock::now();
+        if (this->edge.encodeDutyCall == nullptr || now >= task.call.sendBy) {
+            logDutyCall("dutyCallHeldBack", task.call,
+                        {{"leaseMs", toMilliseconds(task.call.sendBy - now)}});
+            this->onControlEvent(DutyReplyEvent{task.call.id, DutyReply::Unsent, 0});
+            return;
+        }
+        this->begin(
+            ControlTransfer::makeDutyCall(task.call, task.address, this->edge, this->holder, now));
+    }
+
     void begin(std::unique_ptr<ControlTransfer> transfer)
     {
         CURL *easy = transfer->handle();
@@ -337,6 +357,11 @@
     return this->impl->taskQueue.tryPush(std::move(item));
 }
 
+bool TargetClient::callInfrastructure(std::string address, DutyCall call)
+{
+    return this->impl->taskQueue.tryPush(CallInfrastructure{std::move(address), std::move(call)});
+}
+
 const AnswerMemory &TargetClient::answerMemory() const
 {
     return *this->impl->memory;
--- a/src/net/target_client_base.h
+++ b/src/net/target_client_base.h
@@ -21,8 +21,8 @@
     /** Called with ResponseBegan at most once and with AttemptEnded once for each started attempt,
      * unless stop() comes first. */
     using OnAttemptEvent = std::function<void(HostEvent &&)>;
-    /** Called once with the outcome of each queued order and inspection, unless stop() comes first.
-     */
+    /** Called once with the outcome of each queued order, inspection and call to the
+     * infrastructure, unless stop() comes first. */
     using OnControlEvent = std::function<void(ControlEvent &&)>;
 
     /**
@@ -50,6 +50,13 @@
     /** Asks a target for its accepted orders. @return False if the queue is full. */
     bool inspect(InspectTarget item);
 
+    /**
+     * Makes a call to the infrastructure, unless its sendBy is past.
+     * @param address "ip:port" of the infrastructure's interface.
+     * @return False if the queue is full; nothing was sent then.
+     */
+    bool callInfrastructure(std::string address, DutyCall call);
+
     /** @return The count of bytes of answers; valid until the client ends. */
     const AnswerMemory &answerMemory() const;
 
