Add: [Platform] Bounds of the number of targets are decoded

The operator's configuration states scale for a service. Bounds that contradict each other, negative ones and those without min or max refuse the configuration.

--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -252,3 +252,25 @@
         configWith("\"routes\":[", R"("routes":[{"name":"q","host":"h.example","pathPrefix":"/a/",
         "kind":"safe","timeoutMs":1,"service":"p"},)")));
 }
+
+// Guards against bounds of the number of targets that are misread or contradict each other.
+Test(platform, bounds_of_the_number_of_targets_are_decoded_and_checked)
+{
+    const auto withScale = [](const std::string &scale) {
+        return configWith("{\"name\":\"p\"}", "{\"name\":\"p\",\"scale\":" + scale + "}");
+    };
+    std::string reason;
+    const auto read = platform::readConfig(withScale(R"({"min":30,"max":70,"bootS":8.5})"), reason);
+    cr_assert(read, "%s", reason.c_str());
+    const auto &bounds = read->config.services.at("p").targetCount;
+    cr_assert(bounds && *bounds == (TargetCountBounds{30, 70, 8.5}));
+    cr_assert_not(read->config.services.at("s").targetCount);
+    cr_assert(isValid(withScale(R"({"min":0,"max":0})")));
+    cr_assert(isValid(withScale("null")));
+    for (const char *scale :
+         {R"({"min":70,"max":30,"bootS":8})", R"({"min":-1,"max":30,"bootS":8})",
+          R"({"min":1,"max":3,"bootS":-8})", R"({"min":1,"max":3,"bootS":1e9})",
+          R"({"min":1.5,"max":3,"bootS":8})", R"({"max":3,"bootS":8})", R"({"min":1,"bootS":8})",
+          R"({"min":1,"max":18446744073709551615})", R"([1,3])", R"("1")"})
+        cr_expect_not(isValid(withScale(scale)), "%s", scale);
+}
