--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -8,6 +8,7 @@
 #include "account/wait_estimate_base.h"
 #include "consensus/replica_base.h"
 #include "control/control_type.h"
+#include "duty/target_count_base.h"
 #include "quarantine/part_evidence_base.h"
 #include "state/cluster_base.h"
 #include "target/registry_base.h"
@@ -187,6 +188,19 @@
     std::set<HolderId> holders; ///< Holders that did not get what they wanted.
 };
 
+/** Orders for the number of targets of one service in one availability zone. */
+struct TargetCountDuty
+{
+    TargetCountState state;
+    std::optional<int> wanted; ///< Number to order; empty: no order is due.
+    std::optional<std::uint64_t> call; ///< DutyCall::id of the order on its way.
+    TimePoint calledAt; ///< Time of the latest call.
+    /** An order for @c wanted may have been accepted without a reply. It is repeated unchanged. */
+    bool uncertain = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TargetCountDuty, state, wanted, call, calledAt,
+                                                uncertain)
+
 /** Soft state of the leader for one term; a new leader rebuilds it from reports. */
 struct Leadership
 {
@@ -221,6 +235,8 @@
     TimePoint suspectsRemovalDue; ///< Earliest time at which hosts learn of that.
     PartEvidence partEvidence;
     Planner planner;
+    std::map<DutyKey, TargetCountDuty> targetCounts;
+    TimePoint targetCountsDue; ///< Time of the next look at the number of targets.
     bool active = false; ///< Whether all entries of earlier leaders are applied.
     bool placementPending = false; ///< A placement decision is proposed and not yet applied.
     TimePoint placementDue;
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -189,6 +189,11 @@
 /** Orders the number of targets of services as it is due. */
 void runTargetCounts(Control &control, ControlEffects &effects, TimePoint now);
 
+/** Handles the infrastructure's reply to an order for a number of targets; ignores replies to other
+ * calls. */
+void onTargetCountReply(Control &control, const DutyReplyEvent &reply, ControlEffects &effects,
+                        TimePoint now);
+
 /** Handles the infrastructure's reply to a call of a duty. */
 void onDutyReply(Control &control, const DutyReplyEvent &reply, ControlEffects &effects,
                  TimePoint now);
--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -201,6 +201,13 @@
         out["targets"][id.value] = entry.announcement;
     for (const auto &[id, replica] : control.cluster.view.replicas)
         out["replicas"][id] = replica;
+    for (const auto &[key, duty] : control.leadership->targetCounts)
+        out["targetCounts"].push_back({{"service", key.service},
+                                       {"zone", key.zone},
+                                       {"targets", duty.state.targets},
+                                       {"demand", duty.state.recentDemand},
+                                       {"ordered", duty.state.ordered},
+                                       {"wanted", duty.wanted}});
     for (const auto &[id, slots] : control.leadership->slots)
         out["slots"][id.value] = {{"limit", slots.ramp.limit}, {"free", slots.pool.level}};
     for (const auto &[id, zone] : control.cluster.view.zones)
