--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -166,4 +166,55 @@
 void answerJoinedRequests(Control &control, const std::vector<CallId> &calls,
                           ControlEffects &effects);
 
+/**
+ * Proposes to grant the duty to this leader unless it has been granted to it.
+ * @return The fencing token of the grant; nothing until it is applied, and while calls of an
+ * earlier leader may be on their way.
+ */
+std::optional<FencingToken> holdDuty(Control &control, const DutyKey &duty, ControlEffects &effects,
+                                     TimePoint now);
+
+/**
+ * Makes a call of a duty that this leader holds, if the pace of the calls allows one now.
+ * @return Id of the call, which its reply repeats; nothing if no call may be made now.
+ */
+std::optional<std::uint64_t> makeDutyCall(Control &control, const DutyKey &duty,
+                                          FencingToken fencing,
+                                          std::variant<UsageReport, TargetCountOrder> body,
+                                          ControlEffects &effects, TimePoint now);
+
+/** Follows an applied command of a duty that this leader has proposed. */
+void onDutyCommandApplied(Control &control, const CommandBody &body, ControlEffects &effects);
+
+/** @return Holders of the duties, as recorded, for operators. */
+nlohmann::json describeDuties(const Control &control, TimePoint now);
+
+/** Takes over the time of day and the usage in a report; states the true time and what is recorded
+ * in @p grant. */
+void noteUsage(Control &control, const HostReport &report, HostGrant &grant, TimePoint now);
+
+/** Follows an applied command on usage windows. */
+void onUsageCommandApplied(Control &control, const CommandBody &body, ControlEffects &effects);
+
+/** Handles the reply to the report of a window. */
+void onUsageReply(Control &control, const DutyReplyEvent &reply, ControlEffects &effects,
+                  TimePoint now);
+
+/** Handles the reply to an order of a number of targets. */
+void onTargetCountReply(Control &control, const DutyReplyEvent &reply, ControlEffects &effects,
+                        TimePoint now);
+
+/** @return State of the usage windows, for operators. */
+nlohmann::json describeUsage(const Control &control, TimePoint now);
+
+/** Records, fixes and reports usage windows as they are due. */
+void runUsage(Control &control, ControlEffects &effects, TimePoint now);
+
+/** Orders the number of targets of services as it is due. */
+void runTargetCounts(Control &control, ControlEffects &effects, TimePoint now);
+
+/** Handles the infrastructure's reply to a call of a duty. */
+void onDutyReply(Control &control, const DutyReplyEvent &reply, ControlEffects &effects,
+                 TimePoint now);
+
 } // namespace bilberry
--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -189,6 +189,10 @@
                        {"inForce", inForce(control, now)},
                        {"callRecords", control.cluster.calls.records.size()},
                        {"storedAnswerBytes", control.cluster.calls.totalStoredBytes}};
+    if (!control.cluster.duties.empty())
+        out["duties"] = describeDuties(control, now);
+    if (control.duties.reportsUsage)
+        out["usage"] = describeUsage(control, now);
     if (!control.leadership)
         return out;
     for (const auto &[id, host] : control.leadership->hosts)
@@ -201,6 +205,13 @@
         out["targets"][id.value] = entry.announcement;
     for (const auto &[id, replica] : control.cluster.view.replicas)
         out["replicas"][id] = replica;
+    for (const auto &[key, duty] : control.leadership->targetCounts)
+        out["targetCounts"].push_back({{"service", key.service},
+                                       {"zone", key.zone},
+                                       {"targets", duty.state.targets},
+                                       {"demand", duty.state.recentDemand},
+                                       {"ordered", duty.state.ordered},
+                                       {"wanted", duty.wanted}});
     for (const auto &[id, slots] : control.leadership->slots)
         out["slots"][id.value] = {{"limit", slots.ramp.limit}, {"free", slots.pool.level}};
     for (const auto &[id, zone] : control.cluster.view.zones)
--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -6,6 +6,7 @@
 
 #include "core/log_func.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
 #include <random>
 
@@ -53,6 +54,21 @@
     return std::nullopt;
 }
 
+/** @return The duties of the deployment; none without an address of the infrastructure. */
+DutySettings toDutySettings(const Settings &settings)
+{
+    DutySettings duties;
+    if (settings.infrastructure.port == 0)
+        return duties;
+    duties.address = settings.infrastructure.text();
+    duties.callsPerSecond = settings.infrastructureCallsPerSecond;
+    duties.reportsUsage = settings.reportsUsage;
+    duties.ordersTargets = settings.ordersTargets;
+    duties.window = settings.usageWindow;
+    duties.usageDue = settings.usageDue;
+    return duties;
+}
+
 std::vector<JournalBatch> toBatches(const std::vector<JournalWrite> &writes)
 {
     std::vector<JournalBatch> batches;
@@ -91,6 +107,7 @@
         return control.error();
     runner->control = std::move(control).value();
     runner->control.desiredVoterCount = settings.voters;
+    runner->control.host = settings.host;
     if (settings.edge == EdgeKind::Platform)
         runner->control.tuning = makeFastLoadTuning();
     // Grants may use half of the tolerated excess over the accounts' limits. The other half covers
@@ -98,6 +115,7 @@
     runner->control.leeway = {settings.rateLeeway / 2, settings.burstLeeway / 2};
     runner->control.tuning.prefetches = settings.prefetch;
     runner->control.tuning.orderSeparation = settings.orderSeparation;
+    runner->control.duties = toDutySettings(settings);
     ControlRunner *self = runner.get();
     BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
                           return self->handleFrame(std::move(frame));
@@ -159,6 +177,22 @@
     return *result;
 }
 
+std::string ControlRunner::metrics()
+{
+    const DutySettings &duties = this->control.duties; // Constant after construction.
+    if (!duties.reportsUsage && !duties.ordersTargets)
+        return "";
+    auto result = std::make_shared<std::string>();
+    auto done = std::make_shared<absl::Notification>();
+    const bool posted = this->tasks.tryPush(Task(StateQuery([result, done](const Control &control) {
+        *result = formatDutyMetrics(control, MonotonicClock::now());
+        done->Notify();
+    })));
+    if (!posted || !done->WaitForNotificationWithTimeout(absl::Seconds(5)))
+        return "";
+    return *result + this->formatCallCounters();
+}
+
 void ControlRunner::runDecisions()
 {
     TimePoint tickDue = MonotonicClock::now();
@@ -208,8 +242,20 @@
     return event.has_value();
 }
 
+std::string ControlRunner::formatCallCounters() const
+{
+    std::string out;
+    for (std::size_t i = 0; i < this->dutyReplies.size(); ++i)
+        absl::StrAppend(&out, "bilberrybend_duty_calls_total{reply=\"",
+                        nlohmann::json(static_cast<DutyReply>(i)).get<std::string>(), "\"} ",
+                        this->dutyReplies[i].load(), "\n");
+    return out;
+}
+
 void ControlRunner::handle(const ControlEvent &event)
 {
+    if (const auto *reply = std::get_if<DutyReplyEvent>(&event))
+        ++this->dutyReplies[static_cast<std::size_t>(reply->reply)];
     const DecisionClock began = readClocks();
     recordPause(this->load, began);
     ControlEffects effects = step(this->control, event, began.wall);
@@ -249,6 +295,11 @@
         if (!this->orders.inspect(std::move(item)))
             this->post(unanswered);
     }
+    for (DutyCall &call : effects.dutyCalls) {
+        const DutyReplyEvent unsent{call.id, DutyReply::Unsent, 0};
+        if (!this->orders.callInfrastructure(std::move(call)))
+            this->post(unsent);
+    }
     if (effects.roleChanged)
         this->updateLeadership();
 }
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -3,6 +3,7 @@
 
 #include "account/held_pool_base.h"
 #include "core/histogram_type.h"
+#include "duty/usage_counter_base.h"
 #include "host/host_type.h"
 #include "host/pending_operator_request_base.h"
 #include "queue/fair_queue_base.h"
@@ -37,10 +38,11 @@
     /** Time for which keys, zones and targets stay valid, counted from the sending of the latest
      * report that the leader has answered. */
     Duration freshnessLease = FRESHNESS_LEASE;
+    Duration usageWindow{}; ///< Length of a usage window; 0: usage is not counted.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostSettings, holder, zone, entry, member,
                                                 maxWaiting, retryBurst, retryShare, reportInterval,
-                                                drain, freshnessLease, grace)
+                                                drain, freshnessLease, grace, usageWindow)
 
 enum class RequestState {
     WaitingForBudget, ///< Waits for the account's request or token budget.
@@ -107,13 +109,16 @@
     std::uint64_t originEpoch = 0;
     Version originRegistry;
     bool heldByRate = false; ///< The request has waited for a target's request rate.
+    int rank = 0; ///< Rank of the request, 0 first; 0 unless ranks are in use.
+    TimePoint goalAt; ///< Time by which the answer should begin; unset if the route has no goal.
+    bool countedInUsage = false; ///< The request has been counted in a usage window.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     Request, asked, account, group, workClass, repeatable, recorded, recordOwned, state, estimate,
     charged, arrived, admittedAt, deadline, waitUntil, queuedAt, firstDispatchAt, dispatchedAt,
     attempt, correlation, target, targetStart, attempts, runs, mostRuns, resumable, tried, maySent,
     callerGone, eventsRelayed, suspected, begunAt, beginCounted, trialUntil, heldByRate, origin,
-    proposedOrigin, originRevision, originEpoch, originRegistry)
+    proposedOrigin, originRevision, originEpoch, originRegistry, rank, goalAt, countedInUsage)
 
 /** A lost request that the leader's present suspicions may rest on. */
 struct HeldLoss
@@ -337,6 +342,9 @@
     bool leaving = false; ///< Whether a graceful shutdown is under way.
     TimePoint leavingSince; ///< Time of the shutdown request.
     HostCounters counters;
+    UsageCounter usage; ///< Only if HostSettings::usageWindow is set.
+    std::int64_t unixMs = 0; ///< TickEvent::unixMs of the last tick; 0: unknown.
+    TimePoint unixMsAt; ///< Time of that tick.
 };
 
 } // namespace bilberry
