Add: [Placement] [Control] [Host] Forecasts of loads, and who waits for them

Callers of rare models waited out their time for models that were not coming. The leader simulates the store and the targets after a placement pass and sends hosts the expected ends; hosts refuse at once what is not served in time, with the forecast as Retry-After, and examine queued requests again with each list. Needs are ordered by the requests that can still be served, copies at targets go before the store, and no more store loads run than it serves at full speed. All of it only with PlannerTuning::forecastsLoads, set for fast loads.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -231,6 +231,10 @@
     std::set<std::string>
         publishedLoads; ///< Loads in progress that the registry announces, by replicaId().
     std::vector<VariantAssumption> assumptions;
+    TimePoint forecastLoggedAt; ///< Time of the last log line on load forecasts.
+    std::uint64_t loggedForecast = 0; ///< Version of the forecasts in that line.
+    int loggedParallelism = 0; ///< Parallelism of the store in the last log line on its pace.
+    double loggedSlowness = 1; ///< Slowness of the store in that line.
     TimePoint shortageLoggedAt; ///< Time of the last log line on a lack of slots.
     std::optional<ChangeMember>
         memberChange; ///< Operator's change in progress: its learner is catching up.
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -84,6 +84,10 @@
 /** Proposes to remove the limits of accounts and targets that are gone. */
 void removeObsoleteLending(Control &control, ControlEffects &effects, TimePoint now);
 
+/** Adds the forecasts of loads that the host lacks. */
+void grantForecasts(const Leadership &leadership, const HostReport &report, HostGrant &grant,
+                    TimePoint now);
+
 /** @return Most slots that @p holder should hold; -1: no limit, as there are free slots. */
 int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now);
 
--- a/src/control/host_report.cpp
+++ b/src/control/host_report.cpp
@@ -368,6 +368,7 @@
     grantSlots(control, report, grant, effects, now);
     grantRates(control, report, grant, effects, now);
     addDeltas(control, report, grant, now);
+    grantForecasts(leadership, report, grant, now);
     grantTrials(leadership, report, grant, effects, now);
     addHostCount(leadership, report.holder.host, grant, now);
     effects.toHosts.push_back({report.holder, std::move(grant)});
--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -1,6 +1,7 @@
 /** @file operator_cmd.cpp Handles operators' requests to the leader. */
 #include "control/control_internal.h"
 
+#include "placement/store_pace_func.h"
 #include "state/change_func.h"
 #include "state/cluster_func.h"
 
@@ -203,6 +204,16 @@
         out["replicas"][id] = replica;
     for (const auto &[id, slots] : control.leadership->slots)
         out["slots"][id.value] = {{"limit", slots.ramp.limit}, {"free", slots.pool.level}};
+    const Planner &planner = control.leadership->planner;
+    if (planner.tuning.forecastsLoads)
+        out["store"]
+            = {{"parallelism",
+                storeParallelism(planner.storePace, planner.tuning.maxConcurrentStoreLoads)},
+               {"slowness", planner.storePace.slowness},
+               {"loads", planner.forecasts.loads},
+               {"needs", planner.forecasts.needs},
+               {"withoutRoom", planner.forecasts.unplaced},
+               {"lastMs", toMilliseconds(planner.forecasts.last)}};
     for (const auto &[id, zone] : control.cluster.view.zones)
         out["zones"][id.value] = zone;
     return out;
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -2,16 +2,26 @@
 #include "control/assumption_func.h"
 #include "control/control_internal.h"
 
+#include "placement/load_forecast_func.h"
+#include "placement/store_pace_func.h"
 #include "state/view_func.h"
 #include "target/registry_func.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberry {
 
 namespace {
 
 constexpr Duration PLACEMENT_INTERVAL = 100ms;
+/** A new leader places replicas when live targets have had time to announce their inventories. */
+constexpr Duration PLACEMENT_SETTLE_TIME = 1s;
+/** Hosts that are connected have reported to a new leader after this time. Its first forecasts miss
+ * only targets and demand of hosts that are not. */
+constexpr Duration FORECAST_SETTLE_TIME = 500ms;
+constexpr Duration FORECAST_LOG_INTERVAL = 1s;
+constexpr double MIN_LOGGED_SLOWNESS_CHANGE = 0.2;
 
 /**
  * @return Whether no host can still send new requests to a replica that is being unloaded: each
@@ -128,8 +138,69 @@
     }
 }
 
+/** Logs a changed pace of the weight store, and changed forecasts at most once a second. */
+void logForecasts(Leadership &leadership, ControlEffects &effects, TimePoint now)
+{
+    const Planner &planner = leadership.planner;
+    if (!planner.tuning.forecastsLoads)
+        return;
+    const int most = planner.tuning.maxConcurrentStoreLoads;
+    const StorePace &pace = planner.storePace;
+    const int parallelism = storeParallelism(pace, most);
+    const int before = leadership.loggedParallelism == 0 ? most : leadership.loggedParallelism;
+    const double moved = std::abs(pace.slowness - leadership.loggedSlowness);
+    if (parallelism != before || moved >= MIN_LOGGED_SLOWNESS_CHANGE) {
+        leadership.loggedParallelism = parallelism;
+        leadership.loggedSlowness = pace.slowness;
+        effects.logEvents.push_back({"storePaceChanged",
+                                     {{"from", before},
+                                      {"to", parallelism},
+                                      {"slowness", pace.slowness},
+                                      {"samples", pace.samples},
+                                      {"slowSamples", pace.slowSamples}}});
+    }
+    const LoadForecasts &forecasts = planner.forecasts;
+    if (forecasts.version == leadership.loggedForecast
+        || now < leadership.forecastLoggedAt + FORECAST_LOG_INTERVAL)
+        return;
+    leadership.loggedForecast = forecasts.version;
+    leadership.forecastLoggedAt = now;
+    effects.logEvents.push_back({"loadForecast",
+                                 {{"version", forecasts.version},
+                                  {"loads", forecasts.loads},
+                                  {"needs", forecasts.needs},
+                                  {"withoutRoom", forecasts.unplaced},
+                                  {"lastMs", toMilliseconds(forecasts.last)},
+                                  {"parallelism", parallelism}}});
+}
+
+/** Lets a new leader forecast loads before it places replicas: a pass on a copy of the planner,
+ * whose decisions are dropped. */
+void forecastEarly(Leadership &leadership, const PlacementInput &input, TimePoint now)
+{
+    const bool isDue = leadership.planner.tuning.forecastsLoads
+        && now >= leadership.electedAt + FORECAST_SETTLE_TIME && now >= leadership.placementDue;
+    if (!isDue)
+        return;
+    leadership.placementDue = now + PLACEMENT_INTERVAL;
+    Planner copy = leadership.planner;
+    (void)decidePlacement(copy, input, now);
+    leadership.planner.forecasts = std::move(copy.forecasts);
+}
+
 } // namespace
 
+void grantForecasts(const Leadership &leadership, const HostReport &report, HostGrant &grant,
+                    TimePoint now)
+{
+    const LoadForecasts &forecasts = leadership.planner.forecasts;
+    grant.forecastsVersion = forecasts.version;
+    const bool isKnown
+        = report.term == leadership.term && report.forecastsVersion == forecasts.version;
+    if (forecasts.version != 0 && !isKnown)
+        grant.forecasts = listForecasts(forecasts, now);
+}
+
 void runPlacement(Control &control, ControlEffects &effects, TimePoint now)
 {
     Leadership &leadership = *control.leadership;
@@ -138,13 +209,18 @@
     sendDueOrders(control, effects, now);
     if (leadership.placementPending)
         return;
-    // A new leader decides only after live targets have had time to announce their inventories.
-    if (now < leadership.placementDue || (now < leadership.electedAt + 1s && leadership.term > 1))
-        return;
-    leadership.placementDue = now + PLACEMENT_INTERVAL;
     const PlacementInput input{control.cluster.view, leadership.registry,
                                control.cluster.lastFencing};
+    if (now < leadership.electedAt + PLACEMENT_SETTLE_TIME && leadership.term > 1) {
+        forecastEarly(leadership, input, now);
+        logForecasts(leadership, effects, now);
+        return;
+    }
+    if (now < leadership.placementDue)
+        return;
+    leadership.placementDue = now + PLACEMENT_INTERVAL;
     PlacementDecision decision = decidePlacement(leadership.planner, input, now);
+    logForecasts(leadership, effects, now);
     if (decision.empty())
         return;
     proposePlacement(control, UpdateReplicas{std::move(decision.put), std::move(decision.gone)},
--- a/src/control/registry_description.cpp
+++ b/src/control/registry_description.cpp
@@ -33,10 +33,10 @@
         const auto replica = control.cluster.view.replicas.find(id);
         if (replica == control.cluster.view.replicas.end())
             continue;
-        const Duration passed = now - order.sentAt;
         announcement.loading.push_back(
             {order.order.variant,
-             std::max<Duration>(loadTime(control, replica->second) - passed, Duration::zero())});
+             loadTimeLeft(control.leadership->planner, id, loadTime(control, replica->second),
+                          order.sentAt, now)});
     }
 }
 
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -79,6 +79,8 @@
     appendCounter(out, "operator_requests_dropped_total", "why", "operatorGone",
                   counters.operatorRequestsAbandoned);
     appendCounter(out, "changes_overtaken_total", "", "", counters.changesOvertaken);
+    appendCounter(out, "load_forecast_lists_total", "", "", counters.forecastLists);
+    appendCounter(out, "refused_by_forecast_total", "", "", counters.refusedByForecast);
     for (const auto &[type, count] : counters.refusals)
         appendCounter(out, "refusals_total", "type", type, count);
     for (const auto &[result, count] : counters.attempts)
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -348,6 +348,33 @@
     return shortest;
 }
 
+namespace {
+
+/** Without a word of a leader that makes forecasts, the latest ones hold for so long. It covers an
+ * election, after which the next leader's first forecasts come within a second. */
+constexpr Duration FORECAST_RETENTION = 4s;
+
+/** @return Time until the weight store begins a load that the forecasts do not list. */
+Duration waitForStore(const Host &host, TimePoint now)
+{
+    if (!holdForecasts(host, now) || !host.forecasts.unlistedFrom)
+        return Duration::zero();
+    return std::max<Duration>(*host.forecasts.unlistedFrom - now, Duration::zero());
+}
+
+} // namespace
+
+bool holdForecasts(const Host &host, TimePoint now)
+{
+    return host.forecasts.confirmedAt != TimePoint{}
+    && now < host.forecasts.confirmedAt + FORECAST_RETENTION;
+}
+
+bool hasForecast(const Host &host, const WorkGroup &group, TimePoint now)
+{
+    return holdForecasts(host, now) && host.forecasts.loadedAt.contains({group.variant.model, {}});
+}
+
 std::optional<Duration> estimatedLoadTime(const Host &host, const WorkGroup &group, TimePoint now)
 {
     if (group.variant.model.value.empty())
@@ -359,7 +386,13 @@
     const WorkGroup base{{group.variant.model, {}}, group.service};
     if (isAdapter && !eligibleTargets(host, base, now).empty())
         return ADAPTER_LOAD_TIME;
-    Duration shortest = fromSeconds(model->second.loadSeconds) + LOAD_OVERHEAD;
+    if (hasForecast(host, base, now)) {
+        const Duration left = host.forecasts.loadedAt.at(base.variant) - now;
+        return std::max<Duration>(left, ADAPTER_LOAD_TIME)
+            + (isAdapter ? ADAPTER_LOAD_TIME : Duration::zero());
+    }
+    Duration shortest
+        = fromSeconds(model->second.loadSeconds) + LOAD_OVERHEAD + waitForStore(host, now);
     for (const auto &[id, target] : host.targets) {
         if (target.announcement.leaving || target.statedLeaving
             || target.announcement.service != group.service)
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -248,6 +248,8 @@
     std::uint64_t operatorRequestsAbandoned
         = 0; ///< Operators' requests whose operator did not wait.
     std::uint64_t changesOvertaken = 0; ///< Changes refused for a newer one, and tried again.
+    std::uint64_t forecastLists = 0; ///< Lists of load forecasts received from leaders.
+    std::uint64_t refusedByForecast = 0; ///< Requests refused at once for a forecast.
     std::map<std::string, std::uint64_t> refusals; ///< Refused requests by refusal type.
     std::map<std::string, std::uint64_t> attempts; ///< Ended attempts by result.
     std::map<std::string, std::uint64_t> bounds; ///< Exceeded response limits by name.
@@ -263,7 +265,20 @@
     callsReplayed, callsJoined, callerGone, lostUnanswered, trials, leavingStated, quietStated,
     rateStated, heldByRate, calledBack, refusals, attempts, bounds, waits, answers, refusalTimes,
     budgetWaits, slotWaits, grantDelays, operatorRequestsExpired, operatorRequestsAbandoned,
-    changesOvertaken)
+    changesOvertaken, forecastLists, refusedByForecast)
+
+/** The leader's latest list of load forecasts, by the host's clock. */
+struct KnownForecasts
+{
+    /** HostGrant::forecastsVersion of the list; 0: it is not one of this term, or there is none. */
+    std::uint64_t version = 0;
+    TimePoint confirmedAt; ///< Latest grant of a leader that makes forecasts; epoch: none yet.
+    std::map<Variant, TimePoint> loadedAt; ///< Expected end of the first load.
+    /** Time at which the weight store begins a load that is not listed; empty: at once. */
+    std::optional<TimePoint> unlistedFrom;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(KnownForecasts, version, confirmedAt, loadedAt,
+                                                unlistedFrom)
 
 /** Complete state of one host's decision logic. */
 struct Host
@@ -299,6 +314,7 @@
     std::deque<std::uint64_t> prefixHintOrder; ///< Keys of @c prefixHints, oldest first.
     std::set<Digest> suspects; ///< Digests of requests that ran on lost targets, at any host.
     std::uint64_t suspectsVersion = 0; ///< Version of the leader's list of suspects.
+    KnownForecasts forecasts;
 
     std::map<PromptPart, bool> suspectedParts; ///< The leader's list; true: restricted.
     std::map<PromptPart, TimePoint> trials; ///< Trials granted to this host, and their expiry.
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -41,6 +41,8 @@
  * @return Whether the request was refused. */
 bool refuseUnlessServedInTime(Host &host, const Request &request, HostEffects &effects,
                               TimePoint now);
+/** Refuses the queued requests whose model, by the leader's forecasts, is not loaded in time. */
+void refuseLateLoads(Host &host, HostEffects &effects, TimePoint now);
 /** Expects a refused caller of the group to come back at time @p at. */
 void expectReturn(Host &host, const WorkGroup &group, TimePoint at);
 /** @return Time by which every request must have ended, as the process will be killed; nothing if
@@ -77,7 +79,12 @@
 /** @return Time until the first target that serves the group ends its quiet period; nullopt if none
  * is in one. */
 std::optional<Duration> quietLeft(const Host &host, const WorkGroup &group, TimePoint now);
-/** @return Estimated time until a target has loaded the group's variant; nullopt if unknown. */
+/** @return Whether the host has forecasts of loads that still hold. */
+bool holdForecasts(const Host &host, TimePoint now);
+/** @return Whether the leader forecasts the load of the group's model. */
+bool hasForecast(const Host &host, const WorkGroup &group, TimePoint now);
+/** @return Estimated time until a target has loaded the group's variant, by the leader's forecast
+ * if there is one; nullopt if unknown. */
 std::optional<Duration> estimatedLoadTime(const Host &host, const WorkGroup &group, TimePoint now);
 /** @return Estimated time until the request, queued now, would end; nullopt if unknown or nothing
  * is queued ahead. */
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -36,6 +36,8 @@
         target.succeeded = target.overloaded = target.failed = 0;
     }
     reportRatesAgain(host);
+    // The next leader counts the versions of its forecasts anew.
+    host.forecasts.version = 0;
     for (auto &[id, local] : host.localTargets)
         local.changed = true;
     host.earlyReportRequested = true;
@@ -112,6 +114,28 @@
     host.registry = delta.version;
 }
 
+/** Takes over the leader's forecasts. Those of an earlier leader hold until the next one has made
+ * its own. @return Whether the grant contains new ones. */
+bool applyForecasts(Host &host, const HostGrant &grant, TimePoint now)
+{
+    if (grant.forecastsVersion == 0)
+        return false;
+    host.forecasts.confirmedAt = now;
+    if (!grant.forecasts)
+        return false;
+    host.forecasts.version = grant.forecastsVersion;
+    host.forecasts.loadedAt.clear();
+    host.forecasts.unlistedFrom.reset();
+    for (const LoadForecast &forecast : *grant.forecasts) {
+        if (forecast.variant.model.value.empty())
+            host.forecasts.unlistedFrom = now + forecast.left;
+        else
+            host.forecasts.loadedAt[forecast.variant] = now + forecast.left;
+    }
+    ++host.counters.forecastLists;
+    return true;
+}
+
 /** Notes what the leader knows of the accounts, as it has answered the last report. */
 void confirmAccounts(Host &host)
 {
@@ -239,6 +263,8 @@
     }
     if (grant.registry)
         refuseGoneVersions(host, effects, now);
+    if (applyForecasts(host, grant, now))
+        refuseLateLoads(host, effects, now);
     applyGrants(host, grant, !sameTerm, now);
     if (sameTerm)
         refuseLateTurns(host, effects, now);
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -289,12 +289,19 @@
     report.slots.push_back(std::move(use));
 }
 
+/** @return Weight of a waiting request in the order in which the leader loads models. */
+double demandWeight(const Request &)
+{
+    return 1;
+}
+
 /** Reports running, waiting and expected requests by model and adapter. */
 void reportVariants(Host &host, HostReport &report, TimePoint now)
 {
     std::map<Variant, VariantUse> uses;
     std::map<Variant, std::map<AccountId, int>> accounts;
     std::map<Variant, std::map<std::string, int>> pinned;
+    std::map<Variant, std::map<Duration, WaitingDemand>> timeLeft;
     for (const auto &[id, request] : host.requests) {
         const Variant &variant = request.group.variant;
         if (variant.model.value.empty())
@@ -310,6 +317,13 @@
         if (const std::optional<std::string> version = lackedVersion(host, request))
             ++pinned[variant][*version];
         ++accounts[variant][request.account];
+        if (holdForecasts(host, now)) {
+            const Duration usable = std::max<Duration>(latestDispatch(request) - now, 0s);
+            WaitingDemand &group
+                = timeLeft[variant][std::chrono::floor<std::chrono::seconds>(usable)];
+            ++group.waiting;
+            group.weight += demandWeight(request);
+        }
         const Duration left = request.deadline - now;
         if (!use.earliestDeadlineIn || left < *use.earliestDeadlineIn)
             use.earliestDeadlineIn = left;
@@ -328,6 +342,8 @@
             use.accounts.push_back({account, count});
         for (const auto &[version, count] : pinned[variant])
             use.pinned.push_back({version, count});
+        for (const auto &[left, group] : timeLeft[variant])
+            use.timeLeft.push_back({left, group.waiting, group.weight});
         report.variants.push_back(std::move(use));
     }
 }
@@ -445,6 +461,7 @@
     report.registry = host.registry;
     report.membershipIndex = host.membershipIndex;
     report.suspectsVersion = host.suspectsVersion;
+    report.forecastsVersion = host.forecasts.version;
     report.leaving = host.leaving;
     report.entry = host.settings.entry;
     report.member = host.settings.member;
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -4,6 +4,7 @@
 #include "queue/fair_queue_func.h"
 
 #include <algorithm>
+#include <map>
 
 namespace bilberry {
 
@@ -188,7 +189,9 @@
 bool refuseUnlessServedInTime(Host &host, const Request &request, HostEffects &effects,
                               TimePoint now)
 {
-    const bool mayLoad = request.waitUntil != TimePoint{} && request.eventsRelayed == 0;
+    const bool forecast = hasForecast(host, request.group, now);
+    const bool mayLoad
+        = (request.waitUntil != TimePoint{} || forecast) && request.eventsRelayed == 0;
     const std::optional<Duration> load
         = mayLoad ? estimatedLoadTime(host, request.group, now) : std::nullopt;
     const std::optional<Duration> quiet = quietLeft(host, request.group, now);
@@ -198,6 +201,7 @@
     if (now + wait <= latestDispatch(request))
         return false;
     if (load) {
+        host.counters.refusedByForecast += forecast ? 1 : 0;
         refuseUntilLoaded(host, request.asked.request, wait, effects, now);
     } else {
         expectReturn(host, request.group, now + wait);
@@ -206,6 +210,23 @@
     return true;
 }
 
+void refuseLateLoads(Host &host, HostEffects &effects, TimePoint now)
+{
+    std::vector<RequestId> waiting;
+    std::map<WorkGroup, bool> served;
+    for (const auto &[id, request] : host.requests) {
+        if (request.state != RequestState::Queued || request.group.variant.model.value.empty())
+            continue;
+        const auto [group, added] = served.try_emplace(request.group, false);
+        if (added)
+            group->second = hasEligibleTarget(host, request.group, now);
+        if (!group->second)
+            waiting.push_back(id);
+    }
+    for (const RequestId id : waiting)
+        refuseUnlessServedInTime(host, host.requests.at(id), effects, now);
+}
+
 /** Refuses queued requests that have reached waitUntil, with the delay after which to retry. */
 void refuseExpiredWaits(Host &host, HostEffects &effects, TimePoint now)
 {
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -103,6 +103,15 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PinnedDemand, softwareVersion, waiting)
 
+/** Waiting requests of a variant whose latest useful dispatch is about the same time away. */
+struct WaitingDemand
+{
+    Duration left{}; ///< Time until the latest useful dispatch, rounded down to whole seconds.
+    int waiting = 0; ///< Number of the requests.
+    double weight = 0; ///< Sum of the weights of the requests.
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaitingDemand, left, waiting, weight)
+
 /** Use of a model or adapter at one host since its last report. */
 struct VariantUse
 {
@@ -114,9 +123,12 @@
     std::optional<Duration> earliestDeadlineIn; ///< Time until the first deadline in the queue.
     std::vector<AccountDemand> accounts; ///< Waiting requests by account.
     std::vector<PinnedDemand> pinned; ///< Included in @c waiting.
+    /** The requests in @c waiting by the time left; empty unless the leader makes forecasts. */
+    std::vector<WaitingDemand> timeLeft;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VariantUse, variant, waiting, running, arrived,
-                                                returning, earliestDeadlineIn, accounts, pinned)
+                                                returning, earliestDeadlineIn, accounts, pinned,
+                                                timeLeft)
 
 /** Digest of a request that was running on a target when the target was lost. */
 struct CrashSuspicion
@@ -311,6 +323,7 @@
 /** Expected time until a variant that no target holds is loaded for the first time. */
 struct LoadForecast
 {
+    /** Without a model: the time until the weight store begins a load that is not listed. */
     Variant variant;
     Duration left{}; ///< As of the grant that carries it.
 };
@@ -345,8 +358,9 @@
     /** Sequence number of the latest report of the host whose usage is in the replicated log. */
     std::uint64_t usageRecordedIn = 0;
     WindowId usageFixedUpTo = 0; ///< Usage windows up to this one take no further counts.
-    std::uint64_t forecastsVersion = 0; ///< Current version of the leader's forecasts.
-    /** All forecasts; set only if the host knows another version. */
+    /** Current version of the leader's forecasts; 0: the leader has not made any. */
+    std::uint64_t forecastsVersion = 0;
+    /** All forecasts; set only if the host knows another version or reports of another term. */
     std::optional<std::vector<LoadForecast>> forecasts;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HostGrant, sequence, sentAt, term, table, registry,
--- a/src/net/link_wire.cpp
+++ b/src/net/link_wire.cpp
@@ -95,12 +95,16 @@
 {
     static auto of(auto &v) { return std::tie(v.softwareVersion, v.waiting); }
 };
+template <> struct Fields<WaitingDemand>
+{
+    static auto of(auto &v) { return std::tie(v.left, v.waiting, v.weight); }
+};
 template <> struct Fields<VariantUse>
 {
     static auto of(auto &v)
     {
         return std::tie(v.variant, v.waiting, v.running, v.arrived, v.returning,
-                        v.earliestDeadlineIn, v.accounts, v.pinned);
+                        v.earliestDeadlineIn, v.accounts, v.pinned, v.timeLeft);
     }
 };
 template <> struct Fields<CrashSuspicion>
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -1,9 +1,11 @@
 /** @file candidate.cpp Selects targets for new replicas and idle replicas to evict. */
 #include "placement/planner_internal.h"
+#include "placement/store_pace_func.h"
 
 #include "state/view_func.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bilberry {
 
@@ -170,8 +172,14 @@
 /** @return Whether another load from the weight store may begin under both store limits. */
 bool storeHasCapacity(const Pass &pass)
 {
-    return pass.storeLoads < pass.planner.tuning.maxConcurrentStoreLoads
-        && pass.planner.storeLoadTokens >= 1;
+    const PlannerTuning &tuning = pass.planner.tuning;
+    const int most = tuning.maxConcurrentStoreLoads;
+    if (pass.storeLoads >= most || pass.planner.storeLoadTokens < 1)
+        return false;
+    if (!tuning.forecastsLoads)
+        return true;
+    const StorePace &pace = pass.planner.storePace;
+    return pass.storeLoads - countEndingLoads(pace, most, pass.now) < storeParallelism(pace, most);
 }
 
 /**
@@ -343,6 +351,30 @@
 
 } // namespace
 
+std::int64_t obtainableMb(Pass &pass, TargetFacts &target)
+{
+    std::int64_t sum = target.freeMb;
+    for (const std::size_t i : target.replicas) {
+        const Replica &replica = pass.replicas[i].current();
+        if (replica.state == ReplicaState::Unloading)
+            sum += memoryOf(pass.input.view, replica);
+    }
+    for (const std::size_t i : evictionCandidates(pass, target))
+        sum += memoryOf(pass.input.view, pass.replicas[i].current());
+    return sum;
+}
+
+std::vector<std::size_t> targetsWithCopy(const Pass &pass, const Need &need)
+{
+    std::vector<std::size_t> fitting;
+    const auto cached = pass.cachedTargets.find(need.variant.model);
+    if (!need.isModel() || cached == pass.cachedTargets.end())
+        return fitting;
+    std::copy_if(cached->second.begin(), cached->second.end(), std::back_inserter(fitting),
+                 [&](std::size_t i) { return fitsVersion(pass.targets[i], need); });
+    return fitting;
+}
+
 CacheTier tierOf(const TargetAnnouncement &target, const ModelId &model)
 {
     CacheTier best = CacheTier::Remote;
--- a/src/placement/order.cpp
+++ b/src/placement/order.cpp
@@ -286,6 +286,7 @@
     const bool usesPrecondition = it->second.order.precondition.has_value();
     if (reply == OrderReply::Accepted) {
         it->second.answered = true;
+        it->second.acceptedAt = now;
         if (usesPrecondition)
             recordAccepted(planner.acceptedOrders[it->second.target], it->second.order, done, now);
         return {};
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/** WaitingDemand::left is rounded down by up to this. */
+constexpr Duration TIME_LEFT_STEP = 1s;
 constexpr double WAIT_WEIGHT = 2; ///< A second of waiting adds the urgency of this many requests.
 /** Urgency, in requests, of a take-up whose software version lacks the model: its caller has waited
  * for one stream already, and no other target can serve it. */
@@ -37,6 +39,12 @@
         if (waiting <= 0)
             history.pinned.erase(pinned.softwareVersion);
     }
+    history.timeLeft.erase(host);
+    if (sign > 0 && !use.timeLeft.empty()) {
+        std::vector<WaitingUntil> &timeLeft = history.timeLeft[host];
+        for (const WaitingDemand &demand : use.timeLeft)
+            timeLeft.push_back({now + demand.left, demand.waiting, demand.weight});
+    }
     history.deadlines.erase(host);
     if (sign > 0 && use.earliestDeadlineIn)
         history.deadlines[host] = now + *use.earliestDeadlineIn;
@@ -83,16 +91,71 @@
     return requests;
 }
 
+/** Callers that speak for a load of a variant. */
+struct Callers
+{
+    int count = 0;
+    double weight = 0; ///< Sum of their weights; 1 for each that is not waiting.
+};
+
+/**
+ * Adds the callers of exactly @p variant, without the waiting requests that a load which begins now
+ * would not serve in time. A host that does not report the time left counts with all its requests.
+ */
+void addCallers(const Pass &pass, const Variant &variant, Duration loadTime, Callers &callers)
+{
+    const auto it = pass.planner.history.find(variant);
+    if (it == pass.planner.history.end())
+        return;
+    const VariantHistory &history = it->second;
+    int others = history.waiting + history.running + history.returning;
+    for (const auto &[host, timeLeft] : history.timeLeft) {
+        for (const WaitingUntil &group : timeLeft) {
+            others -= group.waiting;
+            if (pass.now + loadTime > group.until + TIME_LEFT_STEP)
+                continue;
+            callers.count += group.waiting;
+            callers.weight += group.weight;
+        }
+    }
+    callers.count += others;
+    callers.weight += others;
+}
+
+/** @return Callers that speak for a replica of the variant; a base model includes the callers of
+ * its adapters. */
+Callers callersWithAdapters(const Pass &pass, const Variant &variant)
+{
+    Callers callers;
+    const bool isModel = variant.adapter.value.empty();
+    const bool cached = pass.cachedTargets.contains(variant.model);
+    const Duration configured
+        = isModel ? configuredLoadTime(pass.input.view, variant.model, cached) : Duration::zero();
+    const double slowness = cached ? 1 : pass.planner.storePace.slowness;
+    const Duration loadTime = fromSeconds(toSeconds(configured) * slowness);
+    addCallers(pass, variant, loadTime, callers);
+    if (!isModel)
+        return callers;
+    for (auto it = pass.planner.activeVariants.upper_bound(variant);
+         it != pass.planner.activeVariants.end() && it->model == variant.model; ++it)
+        addCallers(pass, *it, loadTime, callers);
+    return callers;
+}
+
 /** @return Number of replicas that the variant should have under the reported demand. */
 int desiredReplicas(const Pass &pass, const Model &model, const Variant &variant)
 {
-    const int requests = requestsWithAdapters(pass.planner, variant);
     const int perReplica = pass.planner.tuning.requestsPerReplica;
     const int least = variant.adapter.value.empty() ? model.minReplicas : 0;
     // Until a first replica serves, a burst of requests does not show how many replicas are needed.
     const auto counts = pass.counts.find(variant);
-    if (counts == pass.counts.end() || counts->second.ready == 0)
-        return std::max(std::min(requests, 1), least);
+    if (counts == pass.counts.end() || counts->second.ready == 0) {
+        const int callers = pass.planner.tuning.forecastsLoads
+            ? callersWithAdapters(pass, variant).count
+            : requestsWithAdapters(pass.planner, variant);
+        return std::max(std::min(callers, 1), least);
+    }
+    const int requests = requestsWithAdapters(pass.planner, variant);
     return std::clamp((requests + perReplica - 1) / perReplica, least, model.maxReplicas);
 }
 
@@ -177,7 +240,10 @@
     need.service = model->second.service;
     need.memoryMb = need.isModel() ? model->second.memoryMb : model->second.adapterMemoryMb;
     need.isFirstReplica = present == 0 || lacking;
-    need.urgency = requestsWithAdapters(pass.planner, variant) + weightedWait(pass, variant);
+    need.urgency = weightedWait(pass, variant)
+        + (pass.planner.tuning.forecastsLoads ? callersWithAdapters(pass, variant).weight
+                                              : requestsWithAdapters(pass.planner, variant));
+    need.hasCopy = pass.planner.tuning.forecastsLoads && !targetsWithCopy(pass, need).empty();
     need.urgency += lacking ? TAKE_UP_URGENCY : 0;
     addWaiters(pass, variant, need);
     if (need.isModel()) {
@@ -190,8 +256,9 @@
 
 /**
  * @return Needs by priority. First replicas come before additional ones. Within each group, needs
- * are sorted by descending urgency or, without prioritizesByDemand, by the lowest load charge of
- * their accounts (in steps of 2), then by the earliest deadline.
+ * are sorted by descending urgency, with forecastsLoads after those of which a target has a copy,
+ * or, without prioritizesByDemand, by the lowest load charge of their accounts (in steps of 2),
+ * then by the earliest deadline.
  */
 std::vector<Need> collectNeeds(const Pass &pass)
 {
@@ -213,8 +280,8 @@
     });
     if (pass.planner.tuning.prioritizesByDemand) {
         std::stable_sort(needs.begin(), needs.end(), [](const Need &a, const Need &b) {
-            return std::make_pair(!a.isFirstReplica, -a.urgency)
-                < std::make_pair(!b.isFirstReplica, -b.urgency);
+            return std::make_tuple(!a.isFirstReplica, !a.hasCopy, -a.urgency)
+                < std::make_tuple(!b.isFirstReplica, !b.hasCopy, -b.urgency);
         });
         return needs;
     }
@@ -328,7 +395,12 @@
         charge *= LOAD_CHARGE_DECAY;
     Pass pass = beginPass(planner, input, now);
     reconcile(pass);
-    placeNeeds(pass, collectNeeds(pass));
+    if (planner.tuning.forecastsLoads)
+        trackStoreLoads(pass);
+    const std::vector<Need> needs = collectNeeds(pass);
+    placeNeeds(pass, needs);
+    if (planner.tuning.forecastsLoads)
+        forecastNeeds(pass, needs);
     if (planner.tuning.prefetches)
         prefetch(pass);
     if (!pass.targets.empty())
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "link/link_type.h"
+#include "placement/load_forecast_type.h"
+#include "placement/store_pace_base.h"
 #include "target/registry_base.h"
 
 #include <map>
@@ -30,6 +32,9 @@
     bool prioritizesByDemand = false;
     /** Spare loads of the weight store prefetch models that no target holds or has cached. */
     bool prefetches = false;
+    /** Learns the parallelism of the weight store, forecasts loads, and orders needs by the
+     * requests that can still be served in time. */
+    bool forecastsLoads = false;
     int requestsPerReplica = 6; ///< Waiting, running and returning requests per desired replica.
 };
 
@@ -42,10 +47,19 @@
     tuning.usesOrderPrecondition = true;
     tuning.evictionIdleTime = 300ms;
     tuning.prioritizesByDemand = true;
+    tuning.forecastsLoads = true;
     tuning.requestsPerReplica = 24;
     return tuning;
 }
 
+/** Waiting requests of one host with about the same latest useful dispatch. */
+struct WaitingUntil
+{
+    TimePoint until; ///< Latest useful dispatch.
+    int waiting = 0;
+    double weight = 0; ///< Sum of the weights of the requests.
+};
+
 /** Use of one variant; the request counts are totals over the latest reports of all hosts. */
 struct VariantHistory
 {
@@ -57,6 +71,7 @@
     std::map<HostId, TimePoint> deadlines; ///< Earliest deadline of waiting requests by host.
     std::map<AccountId, int> accounts; ///< Waiting requests by account.
     std::map<std::string, int> pinned; ///< Sums of VariantUse::pinned by software version.
+    std::map<HostId, std::vector<WaitingUntil>> timeLeft; ///< VariantUse::timeLeft by host.
 };
 
 /** An order that is in flight or whose outcome is unknown. */
@@ -66,6 +81,7 @@
     TargetId target;
     TimePoint sentAt; ///< Time at which the order was issued.
     bool answered = false; ///< The target has accepted the order.
+    TimePoint acceptedAt; ///< Time of the answer; only if @c answered.
 };
 
 /** Memory on a target that is reserved for one variant until a given time. */
@@ -114,6 +130,8 @@
     Version reconciledVersion; ///< Registry version of the last reconcile().
     std::uint64_t reconciledEpoch = 0; ///< Registry epoch of the last reconcile().
     std::map<AccountId, double> loadChargeByAccount; ///< Decaying count of loads for each account.
+    StorePace storePace; ///< Only with PlannerTuning::forecastsLoads.
+    LoadForecasts forecasts; ///< Only with PlannerTuning::forecastsLoads.
     std::map<TargetId, TimePoint> targetBackoffUntil; ///< No new orders after a failed one.
     std::map<Variant, TimePoint> variantBackoffUntil; ///< No new loads after a failed one.
 };
--- a/src/placement/planner_func.h
+++ b/src/placement/planner_func.h
@@ -76,6 +76,15 @@
 void handleInspection(Planner &planner, const TargetId &target, Incarnation start,
                       const std::optional<TargetInspection> &inspection, TimePoint now);
 
+/**
+ * @param replica Id of a replica that is being loaded.
+ * @param configured Time of the load at full speed.
+ * @param sentAt Time of its order.
+ * @return Expected time left of the load, at the learnt pace of the weight store.
+ */
+Duration loadTimeLeft(const Planner &planner, const std::string &replica, Duration configured,
+                      TimePoint sentAt, TimePoint now);
+
 /** @return How long an idle replica of the variant is kept loaded, from its recorded idle gaps. */
 Duration keepWarmWindow(const Planner &planner, const Variant &variant);
 
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -54,7 +54,12 @@
     std::optional<std::string> softwareVersion; ///< Only engines of this version; empty: any.
     std::int64_t memoryMb = 0; ///< Accelerator memory of the replica.
     TimePoint deadline = TimePoint::max(); ///< Earliest deadline of the waiting requests.
-    double urgency = 0; ///< Number of requests plus weighted waiting time, see WAIT_WEIGHT.
+    /** Number of requests plus weighted waiting time, see WAIT_WEIGHT; with
+     * PlannerTuning::forecastsLoads, waiting requests count by their weight, and only those that
+     * can still be served in time. */
+    double urgency = 0;
+    bool hasCopy
+        = false; ///< A serving target has the model's weights in its memory or on its disk.
     double charge = 0; ///< Lowest load charge among the accounts.
     std::set<AccountId> accounts; ///< Accounts with waiting requests.
     bool isFirstReplica = false; ///< The variant has no replica that is loading or ready.
@@ -95,6 +100,22 @@
 /** Decides loads for @p needs in their order, and evictions where memory is short. */
 void placeNeeds(Pass &pass, const std::vector<Need> &needs);
 
+/** Notes which loads from the weight store are under way, to learn its pace. */
+void trackStoreLoads(Pass &pass);
+
+/** Forecasts the loads under way and those of @p needs, in their order, if a forecast is due. */
+void forecastNeeds(Pass &pass, const std::vector<Need> &needs);
+
+/** @return Time to load the model, from a copy at the target or from the weight store at its full
+ * speed; 0 if it is not configured. */
+Duration configuredLoadTime(const ClusterView &view, const ModelId &model, bool cached);
+
+/** @return Memory of the target that is free, is being freed or can be evicted. */
+std::int64_t obtainableMb(Pass &pass, TargetFacts &target);
+
+/** @return Serving targets that have the weights of the need's model and fit its version. */
+std::vector<std::size_t> targetsWithCopy(const Pass &pass, const Need &need);
+
 /** Uses a spare load of the weight store for a model that no target holds or has cached. */
 void prefetch(Pass &pass);
 
--- a/src/placement/reconcile.cpp
+++ b/src/placement/reconcile.cpp
@@ -1,5 +1,6 @@
 /** @file reconcile.cpp Compares recorded replicas with the inventories that targets announce. */
 #include "placement/planner_internal.h"
+#include "placement/store_pace_func.h"
 
 #include "state/view_func.h"
 
@@ -89,6 +90,8 @@
     case Finding::BecameReady:
         facts.changed = facts.current();
         facts.changed->state = ReplicaState::Ready;
+        finishStoreLoad(pass.planner.storePace, *facts.id,
+                        pass.planner.tuning.maxConcurrentStoreLoads, pass.now);
         pass.planner.orders.erase(*facts.id);
         pass.planner.loadsFromCache.erase(*facts.id);
         pass.planner.variantBackoffUntil.erase(facts.current().variant);
