--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t TARGET_LOSS_WINDOW_MS
     = 5'000; ///< Longest time from the end of an attempt to the log line of the loss of its target,
              ///< before or after.
+constexpr std::int64_t FORECAST_WINDOW_MS
+    = 15'000; ///< An older forecast does not explain a refusal; it may stand for a whole load.
 constexpr std::int64_t LOAD_ORDER_WINDOW_MS
     = 60'000; ///< An older load order does not explain a refusal.
 
@@ -83,6 +85,22 @@
     return "";
 }
 
+/** @return Text on the forecast loads at @p end; empty if the leader logged none shortly before. */
+std::string describeForecast(const std::vector<LogLine> &lines, const LogLine &end)
+{
+    const std::int64_t since = end.unixMs - FORECAST_WINDOW_MS;
+    const LogLine *forecast = latestEvent(lines, "loadForecast", since, end.unixMs);
+    if (forecast == nullptr)
+        return "";
+    return absl::StrCat("; ", integerField(*forecast, "loads"), " loads were under way and ",
+                        integerField(*forecast, "needs"), " models waited for theirs (",
+                        integerField(*forecast, "withoutRoom"),
+                        " without room), at a weight store that serves ",
+                        integerField(*forecast, "parallelism"),
+                        " at full speed, so that the caller was told to come back in ",
+                        integerField(end, "retryAfterMs"), " ms");
+}
+
 std::string causeOfNoTarget(const std::vector<LogLine> &lines, const LogLine &end)
 {
     const std::string variant = stringField(end, "variant");
@@ -107,12 +125,13 @@
                             timeBefore(*answer, end));
     if (order != nullptr)
         return absl::StrCat(variant, " was being loaded as ", stringField(*order, "replica"),
-                            ", ordered ", timeBefore(*order, end));
+                            ", ordered ", timeBefore(*order, end), describeForecast(lines, end));
     if (!problem.empty())
         return absl::StrCat("no target had ", variant, ", and ", problem);
     return absl::StrCat(
         "no target had ", variant,
-        " and no load was ordered: other variants had more demand, or memory was full");
+        " and no load was ordered: other variants had more demand, or memory was full",
+        describeForecast(lines, end));
 }
 
 std::string causeOfRateLimit(const std::vector<LogLine> &lines, const LogLine &end)
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -46,6 +46,8 @@
 28.6 front-2 {"event":"requestRefused","type":"may_have_run","tag":"two-lengths","freshMs":900,"host":"front-2","unixMs":28601}
 30.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"over","freshMs":900,"host":"front-1","unixMs":30000}
 30.1 front-2 {"event":"requestRefused","type":"token_rate_limited","tag":"over2","freshMs":900,"host":"front-2","unixMs":30100}
+50.0 core-2 {"event":"loadForecast","version":9,"loads":2,"needs":31,"withoutRoom":3,"parallelism":2,"host":"core-2","unixMs":50000}
+50.3 front-1 {"event":"requestRefused","type":"no_target","tag":"rare","variant":"m7","retryAfterMs":41200,"freshMs":900,"host":"front-1","unixMs":50300}
 )";
 
 std::vector<LogLine> recorded()
@@ -76,6 +78,14 @@
     checkCause("turn", 1, "t3 takes 1.5 a second of all hosts, as it said 400 ms before");
 }
 
+// Guards against a refusal by a forecast that looks like a lack of targets.
+Test(explain, refusal_names_the_forecast_that_the_caller_was_told)
+{
+    checkCause("rare", 1,
+               "2 loads were under way and 31 models waited for theirs (3 without room)");
+    checkCause("rare", 1, "the caller was told to come back in 41200 ms");
+}
+
 Test(explain, failed_attempt_names_loss_of_its_target)
 {
     checkCause("broken", 3,
