--- a/src/tests/peer_frame_test.cpp
+++ b/src/tests/peer_frame_test.cpp
@@ -53,6 +53,8 @@
         = {{TargetId("t"), Incarnation(1), {1, 2, 3, 4}, 5, 6, 7, 8, 9ms, {{AccountId("a"), 1}}}};
     out.variants = {{VARIANT_WITH_ADAPTER, 1, 2, 3, 4, 5ms, {{AccountId("a"), 1}}},
                     {VARIANT_WITH_ADAPTER, 1, 2, 3, 4, {}, {}}};
+    out.variants[0].timeLeft = {{2s, 3, 4.5}};
+    out.forecastsVersion = 11;
     out.targets = {fullAnnouncement()};
     out.alive = {{TargetId("t"), Incarnation(1)}};
     out.targetsLeft = {TargetId("u")};
@@ -88,6 +90,8 @@
     out.unknownTargets = {TargetId("u")};
     out.hostCount = 7;
     out.hostRank = 8;
+    out.forecastsVersion = 12;
+    out.forecasts = {{VARIANT_WITH_ADAPTER, 13ms}, {{}, 14ms}};
     return out;
 }
 
