--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -53,6 +53,8 @@
 31.4 core-2 {"event":"usageSent","window":71,"unsent":1,"sinceEndMs":6400,"host":"core-2","unixMs":31400}
 31.5 core-2 {"event":"usageLate","window":71,"by":"front-1","requests":4,"host":"core-2","unixMs":31500}
 31.6 core-2 {"event":"usageRefused","window":72,"status":409,"host":"core-2","unixMs":31600}
+50.0 core-2 {"event":"loadForecast","version":9,"loads":2,"needs":31,"withoutRoom":3,"parallelism":2,"host":"core-2","unixMs":50000}
+50.3 front-1 {"event":"requestRefused","type":"no_target","tag":"rare","variant":"m7","retryAfterMs":41200,"freshMs":900,"host":"front-1","unixMs":50300}
 )";
 
 std::vector<LogLine> recorded()
@@ -83,6 +85,14 @@
     checkCause("turn", 1, "t3 takes 1.5 a second of all hosts, as it said 400 ms before");
 }
 
+// Guards against a refusal by a forecast that looks like a lack of targets.
+Test(explain, refusal_names_the_forecast_that_the_caller_was_told)
+{
+    checkCause("rare", 1,
+               "2 loads were under way and 31 models waited for theirs (3 without room)");
+    checkCause("rare", 1, "the caller was told to come back in 41200 ms");
+}
+
 Test(explain, failed_attempt_names_loss_of_its_target)
 {
     checkCause("broken", 3,
