Add: [Queue] [Host] [Control] Requests are served by rank and time left

Cause: under overload the most urgent kind of request was served worst.

Change: the priority of a route or account ranks requests, where a service has at least two. The host's queue orders by objective, rank and time left, with fair shares of accounts within a rank and a least share for each rank; requests that can not be served in time are refused, the lowest rank with the most time left first. The leader divides contended slots by rank and account. Targets are told an urgency. Without two priorities of a service the order and the shares are unchanged.

--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -134,7 +134,7 @@
     int attempts = 3; ///< Upper limit of the targets that run one call.
     int patienceMs = 0; ///< Time for which callers await the first byte; 0: until the deadline.
     int answerGoalMs = 0; ///< Latency objective for the first byte of the answer; 0: none.
-    int priority = 0; ///< Declared priority, 0 is the highest; not used for scheduling.
+    int priority = 0; ///< Rank of the route's requests, 0 first, unless the account has its own.
 
     friend bool operator==(const Route &, const Route &) = default;
 };
--- a/src/config/folder.cpp
+++ b/src/config/folder.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t MAX_MEMORY_MB = 100'000'000;
 constexpr int MAX_REPLICAS = 1'000;
 constexpr int MAX_TIME_LIMIT_MS = 3'600'000;
+constexpr int MAX_PRIORITY = 1'000'000;
 
 /** An entry merged from the files read so far. */
 struct MergedEntry
@@ -65,6 +66,8 @@
     out.weight = reader.readNumber("weight", out.weight, 0.01, 100);
     out.models = reader.readStringArray("models", out.models);
     out.routes = reader.readStringArray("routes", out.routes);
+    if (!reader.readRaw("priority").is_null())
+        out.priority = static_cast<int>(reader.readInteger("priority", 0, 0, MAX_PRIORITY));
     return out;
 }
 
@@ -98,6 +101,7 @@
     out.workClass = reader.readWorkClass("class", out.workClass);
     out.timeLimitMs = static_cast<int>(
         reader.readInteger("timeLimitMs", out.timeLimitMs, 1, MAX_TIME_LIMIT_MS));
+    out.priority = static_cast<int>(reader.readInteger("priority", 0, 0, MAX_PRIORITY));
     if (!out.path.starts_with("/") || out.path.starts_with("/v1/"))
         reader.addProblem("path", "a path that starts with / and not with /v1/");
     return out;
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -87,6 +87,15 @@
 /** @return Most slots that @p holder should hold; -1: no limit, as there are free slots. */
 int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now);
 
+/** @return Hosts with requests of a higher rank than all of the reporter's, that hold less than
+ * their share of the target's slots. Free slots are kept for them. */
+std::vector<HolderId> claimantsOfHigherRanks(const TargetSlots &slots, const HolderId &reporter);
+
+/** Asks one of the hosts to report, as a free slot is kept for it: its next report may come late.
+ */
+void askClaimant(const Leadership &leadership, const std::vector<HolderId> &claimants,
+                 ControlEffects &effects, TimePoint now);
+
 /** Logs who has the slots of a target at which a host gets none that it wants. */
 void logShortage(Leadership &leadership, const TargetSlots &slots, const HostReport &report,
                  const SlotGrant &grant, ControlEffects &effects, TimePoint now);
--- a/src/control/slot_claims.cpp
+++ b/src/control/slot_claims.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace bilberry {
 
@@ -17,11 +18,17 @@
 constexpr Duration SHORTAGE_LOG_INTERVAL
     = 100ms; ///< Time between two lines on a target's lack of slots.
 
-/** Demand for a target's slots, by account and by host. */
+/** Rank and account of requests; in the order of ranks. */
+using Claimant = std::pair<int, AccountId>;
+
+/** A host that has reported within this time is not asked to report for a kept slot. */
+constexpr Duration ASK_INTERVAL = 40ms;
+
+/** Demand for a target's slots, by rank and account, and by host. */
 struct SlotClaims
 {
-    std::map<AccountId, Claim> accounts;
-    std::map<HolderId, std::map<AccountId, double>> holders;
+    std::map<Claimant, Claim> claimants;
+    std::map<HolderId, std::map<Claimant, double>> holders;
     double total = 0;
 };
 
@@ -33,40 +40,64 @@
                   [&](const auto &item) { return now - item.second.reportedAt > BUDGET_LEASE; });
     for (const auto &[holder, demand] : slots.demands) {
         for (const AccountDemand &item : demand.demand) {
-            Claim &claim = claims.accounts[item.account];
+            const Claimant claimant{item.rank, item.account};
+            Claim &claim = claims.claimants[claimant];
             const auto account = control.cluster.view.accounts.find(item.account);
             claim.weight
                 = account == control.cluster.view.accounts.end() ? 1 : account->second.weight;
             claim.demand += item.demand;
-            claims.holders[holder][item.account] += item.demand;
+            claims.holders[holder][claimant] += item.demand;
             claims.total += item.demand;
         }
     }
     return claims;
 }
 
+/** @return Demands of the ranks in their order. */
+std::vector<double> demandsOfRanks(const SlotClaims &claims)
+{
+    std::vector<double> demands;
+    std::optional<int> latest;
+    for (const auto &[claimant, claim] : claims.claimants) {
+        if (latest != claimant.first)
+            demands.push_back(0);
+        latest = claimant.first;
+        demands.back() += claim.demand;
+    }
+    return demands;
+}
+
+/** @return Slots for each unit of demand of each claimant: the slots are divided by rank, and those
+ * of a rank by max-min fair shares of the accounts. */
+std::map<Claimant, double> slotsPerDemand(const SlotClaims &claims, double bound)
+{
+    const std::vector<double> ofRanks = sharesByRank(demandsOfRanks(claims), bound);
+    std::map<Claimant, double> perDemand;
+    auto ofRank = ofRanks.begin();
+    for (auto begin = claims.claimants.begin(); begin != claims.claimants.end(); ++ofRank) {
+        std::vector<Claim> list;
+        auto end = begin;
+        for (; end != claims.claimants.end() && end->first.first == begin->first.first; ++end)
+            list.push_back(end->second);
+        const std::vector<double> shares = maxMinShares(list, *ofRank);
+        for (auto share = shares.begin(); begin != end; ++begin, ++share)
+            perDemand[begin->first] = begin->second.demand > 0 ? *share / begin->second.demand : 0;
+    }
+    return perDemand;
+}
+
 /**
- * @return Slots of each host, not rounded: each account's max-min fair share is divided among the
- * hosts in proportion to their demand.
+ * @return Slots of each host, not rounded: the share of each account in each rank is divided among
+ * the hosts in proportion to their demand.
  */
 std::vector<std::pair<HolderId, double>> fractionalShares(const SlotClaims &claims, double bound)
 {
-    std::vector<Claim> list;
-    list.reserve(claims.accounts.size());
-    for (const auto &[account, claim] : claims.accounts)
-        list.push_back(claim);
-    const std::vector<double> shares = maxMinShares(list, bound);
-    std::map<AccountId, double> perDemand;
-    std::size_t i = 0;
-    for (const auto &[account, claim] : claims.accounts) {
-        perDemand[account] = claim.demand > 0 ? shares[i] / claim.demand : 0;
-        ++i;
-    }
+    const std::map<Claimant, double> perDemand = slotsPerDemand(claims, bound);
     std::vector<std::pair<HolderId, double>> out;
     for (const auto &[holder, own] : claims.holders) {
         double share = 0;
-        for (const auto &[account, demand] : own)
-            share += demand * perDemand.at(account);
+        for (const auto &[claimant, demand] : own)
+            share += demand * perDemand.at(claimant);
         out.emplace_back(holder, share);
     }
     return out;
@@ -111,6 +142,24 @@
     return {requests, hosts};
 }
 
+/** @return Lowest number of a rank in the demand. */
+int highestRank(const HostSlotDemand &demand)
+{
+    int rank = std::numeric_limits<int>::max();
+    for (const AccountDemand &item : demand.demand)
+        rank = std::min(rank, item.rank);
+    return rank;
+}
+
+bool holdsLessThanShare(const TargetSlots &slots, const HolderId &holder)
+{
+    const auto share = slots.shares.find(holder);
+    const auto holding = slots.pool.holdings.find(holder);
+    const std::int64_t held
+        = holding == slots.pool.holdings.end() ? 0 : holding->second.outstanding();
+    return share != slots.shares.end() && held < share->second;
+}
+
 } // namespace
 
 int shareLimit(const Control &control, TargetSlots &slots, const HolderId &holder, TimePoint now)
@@ -141,6 +190,38 @@
     return ownDemand;
 }
 
+std::vector<HolderId> claimantsOfHigherRanks(const TargetSlots &slots, const HolderId &reporter)
+{
+    std::vector<HolderId> claimants;
+    const auto own = slots.demands.find(reporter);
+    if (slots.shares.empty() || own == slots.demands.end())
+        return claimants;
+    const int rank = highestRank(own->second);
+    if (rank == 0)
+        return claimants;
+    // Begins behind the reporter, so that hosts are asked in turn.
+    auto item = std::next(own);
+    for (std::size_t left = slots.demands.size() - 1; left > 0; --left, ++item) {
+        if (item == slots.demands.end())
+            item = slots.demands.begin();
+        if (highestRank(item->second) < rank && holdsLessThanShare(slots, item->first))
+            claimants.push_back(item->first);
+    }
+    return claimants;
+}
+
+void askClaimant(const Leadership &leadership, const std::vector<HolderId> &claimants,
+                 ControlEffects &effects, TimePoint now)
+{
+    for (const HolderId &holder : claimants) {
+        const auto host = leadership.hosts.find(holder.host);
+        if (host == leadership.hosts.end() || now < host->second.lastReportAt + ASK_INTERVAL)
+            continue;
+        effects.toHosts.push_back({holder, BudgetRecall{}});
+        return;
+    }
+}
+
 void logShortage(Leadership &leadership, const TargetSlots &slots, const HostReport &report,
                  const SlotGrant &grant, ControlEffects &effects, TimePoint now)
 {
--- a/src/control/slot_grant.cpp
+++ b/src/control/slot_grant.cpp
@@ -159,6 +159,14 @@
                 : holding->second.granted - use.slots.returned;
             wanted.want = std::clamp<std::int64_t>(out.share - held, 0, wanted.want);
         }
+        const std::vector<HolderId> higher = claimantsOfHigherRanks(slots, report.holder);
+        if (!higher.empty()) {
+            const auto kept = static_cast<std::int64_t>(higher.size());
+            const auto free = static_cast<std::int64_t>(slots.pool.level);
+            wanted.want = std::clamp<std::int64_t>(free - kept, 0, wanted.want);
+            if (free >= 1)
+                askClaimant(leadership, higher, effects, now);
+        }
         const std::int64_t before
             = holding == slots.pool.holdings.end() ? 0 : holding->second.granted;
         std::int64_t shortage = 0;
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -211,9 +211,13 @@
         return causeOfTargetRate(lines, end);
     if (absl::EndsWith(type, "rate_limited"))
         return causeOfRateLimit(lines, end);
-    if (type == "overloaded")
+    if (type == "overloaded") {
+        const std::string rank = end.fields.contains("rank")
+            ? absl::StrCat("; among them it was of rank ", integerField(end, "rank"))
+            : "";
         return absl::StrCat("the targets of ", stringField(end, "variant"),
-                            " had more requests queued than could be served in time");
+                            " had more requests queued than could be served in time", rank);
+    }
     if (integerField(end, "freshMs") <= 0) {
         const std::string problem = leadershipProblem(lines, end);
         return absl::StrCat(end.host, " had no lease from the leader",
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -81,6 +81,10 @@
     appendCounter(out, "changes_overtaken_total", "", "", counters.changesOvertaken);
     for (const auto &[type, count] : counters.refusals)
         appendCounter(out, "refusals_total", "type", type, count);
+    for (const auto &[rank, count] : counters.answeredByRank)
+        appendCounter(out, "ranked_answered_total", "rank", absl::StrCat(rank), count);
+    for (const auto &[rank, count] : counters.refusedByRank)
+        appendCounter(out, "ranked_refused_total", "rank", absl::StrCat(rank), count);
     for (const auto &[result, count] : counters.attempts)
         appendCounter(out, "attempts_total", "result", result, count);
     for (const auto &[bound, count] : counters.bounds)
@@ -108,6 +112,15 @@
     line["targetMs"] = toMilliseconds(waits.target);
 }
 
+/** Adds to a log line the rank of its request, if ranks are in use. */
+void addRank(nlohmann::json &line, const RankNote &ranking)
+{
+    if (ranking.rank)
+        line["rank"] = *ranking.rank;
+    if (ranking.toGoal)
+        line["msToGoal"] = toMilliseconds(*ranking.toGoal);
+}
+
 } // namespace
 
 HostRunner::HostRunner(const Settings &settings, const Edge &edge)
@@ -361,6 +374,7 @@
             line["execution"] = refusal->execution;
             line["retryAfterMs"] = refusal->retryAfter.value_or(Duration::zero()).count() / 1000;
             addWaits(line, refusal->waits);
+            addRank(line, refusal->ranking);
             if (!refusal->streamVersion.empty())
                 line["streamVersion"] = refusal->streamVersion;
             logEventRateLimited("requestRefused", std::move(line));
@@ -373,6 +387,9 @@
             line["resumeAfter"] = start->resumeAfter;
             line["parts"] = this->promptPartsOf(start->request);
             addWaits(line, start->waits);
+            addRank(line, start->ranking);
+            if (start->urgency)
+                line["urgency"] = *start->urgency;
             const auto request = this->host.requests.find(start->request);
             if (request != this->host.requests.end() && request->second.heldByRate)
                 line["heldByRate"] = true;
--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -98,6 +98,7 @@
     check.request.account = account->id;
     check.request.group = {variant, ""};
     check.request.workClass = model->second.workClass;
+    check.request.priority = account->priority.value_or(0);
     check.request.estimate = estimateTokens(host, check.request);
     setDeadline(check.request, model->second.timeLimitMs, now);
     return std::nullopt;
@@ -147,6 +148,7 @@
     const Route *route = findRoute(host.view, check.request.asked);
     if (route == nullptr)
         return RefusalCode::UnknownRoute;
+    check.request.priority = route->priority;
     if (!route->open) {
         const Account *account = nullptr;
         if (const auto refusal = checkKey(host, check.request.asked, account))
@@ -154,6 +156,7 @@
         if (!mayCallRoute(*account, route->id))
             return RefusalCode::Forbidden;
         check.request.account = account->id;
+        check.request.priority = account->priority.value_or(route->priority);
         check.request.estimate
             = check.request.asked.declaredTokens.value_or(account->tokensOfPlainCall);
     }
@@ -166,6 +169,8 @@
     check.request.mostRuns = route->attempts;
     check.request.recorded = !route->repeatable && !check.request.asked.idempotencyKey.empty();
     setDeadline(check.request, route->timeLimitMs, now);
+    if (route->answerGoalMs > 0)
+        check.request.goalAt = now + std::chrono::milliseconds(route->answerGoalMs);
     if (route->patienceMs > 0)
         check.request.waitUntil
             = std::min(check.request.deadline,
@@ -292,6 +297,7 @@
     const RequestId id = asked.request;
     Request &request = host.requests.emplace(id, std::move(check.request)).first->second;
     request.deadline = std::min(request.deadline, lastEnd(host).value_or(TimePoint::max()));
+    assignRank(host, request);
     host.deadlines.emplace(request.deadline, id);
     if (request.waitUntil != TimePoint{})
         host.waitDeadlines.emplace(request.waitUntil, id);
@@ -346,7 +352,9 @@
             refuseForRate(host, request.asked.request, *turn, effects, now);
             return;
         }
-        const std::optional<Duration> wait = estimatedCompletionTime(host, request);
+        // For ranked requests the length of the whole queue decides, see refuseBeyondRoom().
+        const std::optional<Duration> wait
+            = request.ranked ? std::nullopt : estimatedCompletionTime(host, request);
         if (wait && now + *wait > request.deadline) {
             refuse(host, request.asked.request, RefusalCode::Overloaded, effects, now, *wait);
             return;
@@ -356,10 +364,15 @@
     }
     request.state = RequestState::Queued;
     request.queuedAt = now;
+    setStartLimits(host, request);
     if (countQueued(host.queue, request.group) == 0)
+        host.groups[request.group].queuedSince = now;
+    if (countQueued(host.queue, request.group) == 0
+        || isFirstOfRank(host.queue, queueEntryOf(request)))
         host.newlyQueued.insert(request.group);
-    enqueue(host.queue, {request.asked.request, request.account, request.group, request.workClass},
-            request.attempts > 0 || request.origin);
+    enqueue(host.queue, queueEntryOf(request), request.attempts > 0 || request.origin);
+    if (request.ranked)
+        refuseBeyondRoom(host, WorkGroup(request.group), effects, now);
 }
 
 bool routeLeadsTo(const ClusterView &view, const CallerRequest &asked, const std::string &service)
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -154,6 +154,8 @@
     start.correlation = request.correlation;
     start.resumeAfter = ended.eventsRelayed;
     start.reportBegin = !request.asked.promptParts.empty();
+    start.urgency = urgencyOf(host, request, now);
+    start.ranking = rankNoteOf(request, now);
     effects.push_back(start);
 }
 
@@ -190,6 +192,8 @@
               TimePoint now)
 {
     ++host.counters.answered;
+    if (request.ranked)
+        ++host.counters.answeredByRank[request.rank];
     recordDuration(host.counters.answers, now - request.arrived);
     recordServiceTime(host, request, ended, now);
     recordResponse(host, request, now);
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -261,7 +261,7 @@
         recordDuration(host.counters.slotWaits, now - request.admittedAt);
         request.firstDispatchAt = now;
     }
-    chargeFlow(host.queue, request.workClass, request.account,
+    chargeFlow(host.queue, queueEntryOf(request),
                static_cast<double>(request.estimate > 0 ? request.estimate : DEFAULT_CALL_COST),
                weightOf(host, request.account));
     request.attempt = AttemptId(++host.lastAttempt);
@@ -280,7 +280,10 @@
     request.suspected = request.suspected || host.suspects.contains(request.asked.body);
     beginTrial(host, request, now);
     host.waitDeadlines.erase({request.waitUntil, id});
-    updateDispatchGap(host.groups[request.group], countQueued(host.queue, request.group) > 0, now);
+    const bool othersWait = countQueued(host.queue, request.group) > 0;
+    if (request.ranked)
+        updateSteadyGap(host.groups[request.group], othersWait, now);
+    updateDispatchGap(host.groups[request.group], othersWait, now);
     StartAttempt start;
     start.attempt = request.attempt;
     start.request = id;
@@ -301,6 +304,8 @@
     start.account = request.account;
     start.waits = waitsOf(request, now);
     start.reportBegin = !request.asked.promptParts.empty();
+    start.urgency = urgencyOf(host, request, now);
+    start.ranking = rankNoteOf(request, now);
     start.holdFailures
         = request.repeatable && request.runs + 1 < request.mostRuns && request.asked.byRoute;
     effects.push_back(start);
@@ -382,9 +387,9 @@
     const auto statistics = host.groups.find(request.group);
     if (statistics == host.groups.end() || statistics->second.gapSeconds <= 0)
         return std::nullopt;
-    const double ahead = countQueuedAhead(
-        host.queue, {request.asked.request, request.account, request.group, request.workClass},
-        [&](const AccountId &account) { return weightOf(host, account); });
+    const double ahead
+        = countQueuedAhead(host.queue, queueEntryOf(request),
+                           [&](const AccountId &account) { return weightOf(host, account); });
     if (ahead < 1)
         return std::nullopt;
     return fromSeconds(ahead * statistics->second.gapSeconds + statistics->second.serviceSeconds);
@@ -405,7 +410,7 @@
             blocked[{group, workClass}] = true;
         return free;
     };
-    while (const std::optional<QueueEntry> entry = dequeueNext(host.queue, ready)) {
+    while (const std::optional<QueueEntry> entry = dequeueNext(host.queue, ready, now)) {
         Request &request = host.requests.at(entry->request);
         if (!revalidate(host, request, effects, now))
             continue;
--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -104,6 +104,8 @@
         onResponseBegan(host, began->attempt, now);
     else if (const auto *stated = std::get_if<TargetStated>(&event))
         onTargetStated(host, *stated, effects, now);
+    if (std::holds_alternative<TickEvent>(event))
+        refuseTooLate(host, effects, now);
     refuseExpired(host, effects, now);
     dispatchAll(host, effects, now);
     if (std::holds_alternative<TickEvent>(event)) {
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -109,6 +109,9 @@
     Version originRegistry;
     bool heldByRate = false; ///< The request has waited for a target's request rate.
     int rank = 0; ///< Rank of the request, 0 first; 0 unless ranks are in use.
+    bool ranked = false; ///< Whether ranks were in use for its service at its admission.
+    int priority = 0; ///< Priority of its account, or of its route.
+    StartLimits limits; ///< Set when the request is queued, if it is ranked.
     TimePoint goalAt; ///< Time by which the answer should begin; unset if the route has no goal.
     bool countedInUsage = false; ///< The request has been counted in a usage window.
 };
@@ -117,7 +120,8 @@
     charged, arrived, admittedAt, deadline, waitUntil, queuedAt, firstDispatchAt, dispatchedAt,
     attempt, correlation, target, targetStart, attempts, runs, mostRuns, resumable, tried, maySent,
     callerGone, eventsRelayed, suspected, begunAt, beginCounted, trialUntil, heldByRate, origin,
-    proposedOrigin, originRevision, originEpoch, originRegistry, rank, goalAt, countedInUsage)
+    proposedOrigin, originRevision, originEpoch, originRegistry, rank, goalAt, countedInUsage,
+    ranked, priority, limits)
 
 /** A lost request that the leader's present suspicions may rest on. */
 struct HeldLoss
@@ -219,9 +223,14 @@
     TimePoint lastDispatch;
     int arrived = 0; ///< Requests that passed the admission checks since the last report.
     std::deque<TimePoint> returns; ///< Times at which refused callers were told to retry.
+    TimePoint queuedSince; ///< Time at which the latest period with queued requests began.
+    /** Smoothed time between dispatches while requests wait, without the time in which none did;
+     * long pauses, such as at an election, count little. 0: unknown. */
+    double steadyGapSeconds = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(GroupStatistics, serviceSeconds, tokens, gapSeconds,
-                                                lastDispatch, arrived, returns)
+                                                lastDispatch, arrived, returns, queuedSince,
+                                                steadyGapSeconds)
 
 /** Counters of one host since its start, exported as metrics. */
 struct HostCounters
@@ -250,6 +259,8 @@
     std::uint64_t changesOvertaken = 0; ///< Changes refused for a newer one, and tried again.
     std::map<std::string, std::uint64_t> refusals; ///< Refused requests by refusal type.
     std::map<std::string, std::uint64_t> attempts; ///< Ended attempts by result.
+    std::map<int, std::uint64_t> answeredByRank; ///< Answered requests with a rank.
+    std::map<int, std::uint64_t> refusedByRank; ///< Refused requests with a rank, once admitted.
     std::map<std::string, std::uint64_t> bounds; ///< Exceeded response limits by name.
     LatencyHistogram waits; ///< Time from the arrival of a request to its first attempt.
     LatencyHistogram answers; ///< Time from the arrival of a request to the end of its response.
@@ -263,7 +274,7 @@
     callsReplayed, callsJoined, callerGone, lostUnanswered, trials, leavingStated, quietStated,
     rateStated, heldByRate, calledBack, refusals, attempts, bounds, waits, answers, refusalTimes,
     budgetWaits, slotWaits, grantDelays, operatorRequestsExpired, operatorRequestsAbandoned,
-    changesOvertaken)
+    changesOvertaken, answeredByRank, refusedByRank)
 
 /** Complete state of one host's decision logic. */
 struct Host
@@ -271,6 +282,7 @@
     HostSettings settings;
     ClusterView view; ///< Replicated configuration.
     Version table; ///< Version of @c view.
+    RankTable ranks; ///< Of @c view.
     std::uint64_t registryEpoch = 0;
     Version registry; ///< Version of the target registry within @c registryEpoch.
     std::map<TargetId, KnownTarget> targets;
@@ -325,7 +337,7 @@
     TimePoint reportSentAt; ///< Time of the last report.
     TimePoint reportDue; ///< Time of the next periodic report.
     bool earlyReportRequested = false; ///< Whether to send a report before @c reportDue.
-    /** Groups that got their first queued request since the last report. */
+    /** Groups with a first queued request, of all or of a rank, since the last report. */
     std::set<WorkGroup> newlyQueued;
     /** Whether to send a report without regard to earlyReportInterval: the last report does not
      * include a group or an account that waits now. */
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "host/host_func.h"
+#include "queue/fair_queue_func.h"
 
 namespace bilberry {
 
@@ -83,6 +84,24 @@
  * is queued ahead. */
 std::optional<Duration> estimatedCompletionTime(const Host &host, const Request &request);
 
+// Ranks.
+/** Sets the rank of the request from its priority, if ranks are in use for its service. */
+void assignRank(const Host &host, Request &request);
+/** Sets the latest useful times to dispatch a ranked request. */
+void setStartLimits(const Host &host, Request &request);
+/** @return Entry of the request in the host's queue. */
+QueueEntry queueEntryOf(const Request &request);
+/** @return Urgency that the target is told; nothing if ranks are not in use. */
+std::optional<int> urgencyOf(const Host &host, const Request &request, TimePoint now);
+RankNote rankNoteOf(const Request &request, TimePoint now);
+/** Updates the smoothed time between dispatches of ranked requests, before a dispatch. */
+void updateSteadyGap(GroupStatistics &statistics, bool othersWait, TimePoint now);
+/** Refuses queued ranked requests that can no longer meet their deadline. */
+void refuseTooLate(Host &host, HostEffects &effects, TimePoint now);
+/** Refuses ranked requests of the group, the lowest rank with the most time left first, while more
+ * are queued than can be dispatched by the deadline of the last one. */
+void refuseBeyondRoom(Host &host, const WorkGroup &group, HostEffects &effects, TimePoint now);
+
 // Attempts.
 void onAttemptEnded(Host &host, const AttemptEnded &ended, HostEffects &effects, TimePoint now);
 
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -243,6 +243,13 @@
     Duration target{}; ///< From its latest attempt on.
 };
 
+/** Rank of a request and time until its objective; for log lines, not serialized. */
+struct RankNote
+{
+    std::optional<int> rank; ///< Empty: ranks are not in use.
+    std::optional<Duration> toGoal; ///< Negative once the objective is missed; empty: none.
+};
+
 /** Ends a request with a typed refusal. A stream that has begun is aborted, so that the caller
  * detects the truncation. */
 struct RefuseCaller
@@ -253,6 +260,7 @@
     std::optional<Duration> retryAfter; ///< Delay before the caller should retry.
     RequestWaits waits; ///< Zero if the request was refused on arrival.
     std::string streamVersion; ///< Software version of its stream; for log lines, not serialized.
+    RankNote ranking{};
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RefuseCaller, request, code, execution, retryAfter)
 
@@ -291,6 +299,7 @@
     bool reportStatement = false; ///< TargetStated is to be reported, also if it states nothing.
     std::optional<int> urgency; ///< Urgency for an engine's queue, 0 first; empty: not stated.
     RequestWaits waits;
+    RankNote ranking;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
                                                 remaining, deadline, sendBy, firstByteLimit,
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -2,6 +2,7 @@
 #include "host/host_internal.h"
 
 #include "queue/fair_queue_func.h"
+#include "queue/urgency_func.h"
 #include "state/cluster_func.h"
 #include "state/view_func.h"
 
@@ -164,6 +165,16 @@
         applyRateGrants(host, grant, expires, now);
 }
 
+/** @return Whether the change has records that ranks depend on. */
+bool changesRanks(const TableDelta &delta)
+{
+    return delta.full
+        || std::any_of(delta.records.begin(), delta.records.end(), [](const Record &record) {
+               return record.key.kind == RecordKind::Account || record.key.kind == RecordKind::Route
+                   || record.key.kind == RecordKind::Model;
+           });
+}
+
 /**
  * Applies the configuration and registry changes of a grant, and extends their freshness lease.
  * @param late Whether the grant answers an older report; its changes may be known already.
@@ -178,6 +189,8 @@
     if (grant.table && (!late || (fits && grant.table->version > host.table))) {
         const bool applied = static_cast<bool>(applyDelta(host.view, *grant.table));
         host.table = applied ? grant.table->version : Version(0);
+        if (changesRanks(*grant.table))
+            host.ranks = makeRankTable(host.view);
         if (!applied)
             return false;
     }
--- a/src/host/report_cmd.cpp
+++ b/src/host/report_cmd.cpp
@@ -121,8 +121,24 @@
     }
 }
 
-/** Requests that wait for a slot, or for a budget and then a slot, by group and account. */
-using WaitingCounts = std::map<WorkGroup, std::map<AccountId, std::size_t>>;
+/** Account and rank of requests. */
+using Claimant = std::pair<AccountId, int>;
+
+/** Requests that wait for a slot, or for a budget and then a slot, by group, account and rank. */
+using WaitingCounts = std::map<WorkGroup, std::map<Claimant, std::size_t>>;
+
+/** Adds the queued requests of a service with ranks. */
+void countRanked(const RankedQueue &queue, WaitingCounts &counts)
+{
+    for (const auto &[rank, rankClass] : queue.ranks) {
+        if (rankClass.count == 0)
+            continue;
+        for (const auto &[account, flow] : rankClass.flows) {
+            for (const auto &[group, waiting] : flow.waiting)
+                counts[group][{account, rank}] += waiting.inTime.size() + waiting.late.size();
+        }
+    }
+}
 
 /**
  * @return Counts of the waiting requests. Those that still wait for a budget are included, so that
@@ -135,14 +151,18 @@
     for (const FlowClass *flows : {&host.queue.interactive, &host.queue.bulk}) {
         for (const auto &[account, flow] : flows->flows) {
             for (const auto &[group, waiting] : flow.waiting)
-                counts[group][account] += waiting.size();
+                counts[group][{account, 0}] += waiting.size();
         }
     }
+    for (const auto &[service, ranked] : host.queue.ranked)
+        countRanked(ranked, counts);
     for (const auto &[account, held] : host.accounts) {
         if (held.shortSince)
             continue;
-        for (const RequestId id : held.waiting)
-            ++counts[host.requests.at(id).group][account];
+        for (const RequestId id : held.waiting) {
+            const Request &request = host.requests.at(id);
+            ++counts[request.group][{account, request.rank}];
+        }
     }
     return counts;
 }
@@ -182,19 +202,19 @@
     return asked;
 }
 
-/** @return Waiting requests per target and account, spread evenly over the eligible targets. */
-std::map<TargetId, std::map<AccountId, int>> distributeWaiting(const Host &host, TimePoint now)
+/** @return Waiting requests per target and claimant, spread evenly over the eligible targets. */
+std::map<TargetId, std::map<Claimant, int>> distributeWaiting(const Host &host, TimePoint now)
 {
-    std::map<TargetId, std::map<AccountId, int>> spread;
-    for (const auto &[group, accounts] : countWaiting(host)) {
+    std::map<TargetId, std::map<Claimant, int>> spread;
+    for (const auto &[group, claimants] : countWaiting(host)) {
         const std::vector<TargetId> open = eligibleTargets(host, group, now);
         if (open.empty())
             continue;
-        for (const auto &[account, waiting] : accounts) {
+        for (const auto &[claimant, waiting] : claimants) {
             const std::vector<TargetId> asked = targetsToAsk(host, open, waiting);
             const auto each = static_cast<int>((waiting + asked.size() - 1) / asked.size());
             for (const TargetId &target : asked)
-                spread[target][account] += each;
+                spread[target][claimant] += each;
         }
     }
     return spread;
@@ -247,19 +267,21 @@
 
 /**
  * Reports the use of a target's slots, returns unneeded slots and requests missing ones.
- * @param demand Queued requests for the target by account.
+ * @param demand Queued requests for the target by account and rank.
  */
-void reportTarget(Host &host, KnownTarget &target, std::map<AccountId, int> demand,
+void reportTarget(Host &host, KnownTarget &target, std::map<Claimant, int> demand,
                   HostReport &report, bool periodic, TimePoint now)
 {
     int waiting = 0;
-    for (const auto &[account, count] : demand)
+    for (const auto &[claimant, count] : demand)
         waiting += count;
     reportRate(host, target, waiting, report, now);
     if (target.statedLeaving && !target.announcement.leaving)
         report.statedLeaving.emplace_back(target.announcement.id, target.announcement.start);
-    for (const RequestId id : target.running)
-        ++demand[host.requests.at(id).account];
+    for (const RequestId id : target.running) {
+        const Request &request = host.requests.at(id);
+        ++demand[{request.account, request.rank}];
+    }
     const auto running
         = static_cast<std::int64_t>(target.running.size() + target.cancelling.size());
     if (periodic)
@@ -284,8 +306,8 @@
     use.failed = target.failed;
     use.limit = target.limit;
     use.busyFor = busyFor(host, target, now);
-    for (const auto &[account, count] : demand)
-        use.demand.push_back({account, count});
+    for (const auto &[claimant, count] : demand)
+        use.demand.push_back({claimant.first, count, claimant.second});
     report.slots.push_back(std::move(use));
 }
 
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -14,7 +14,7 @@
 {
     const RequestId id = request.asked.request;
     if (request.state == RequestState::Queued)
-        removeQueued(host.queue, {id, request.account, request.group, request.workClass});
+        removeQueued(host.queue, queueEntryOf(request));
     if (request.state != RequestState::WaitingForBudget || request.account.value.empty())
         return;
     std::deque<RequestId> &waiting = host.accounts[request.account].waiting;
@@ -43,7 +43,7 @@
     held.tokens.spent += tokensUsed - request.estimate;
     held.usedTokens += tokensUsed - request.estimate;
     if (request.attempts > 0)
-        chargeFlow(host.queue, request.workClass, request.account,
+        chargeFlow(host.queue, queueEntryOf(request),
                    static_cast<double>(tokensUsed - request.estimate),
                    weightOf(host, request.account));
 }
@@ -158,10 +158,13 @@
         endCallRecord(host, request, request.maySent ? CallEnd::Lost : CallEnd::NotRun, {},
                       effects);
     ++host.counters.refusals[refusalResponseOf(code).type];
+    if (request.ranked)
+        ++host.counters.refusedByRank[request.rank];
     recordDuration(host.counters.refusalTimes, now - request.arrived);
     if (!request.callerGone)
         effects.push_back(RefuseCaller{id, code, execution, retryAfter, waitsOf(request, now),
-                                       request.origin ? request.origin->version : ""});
+                                       request.origin ? request.origin->version : "",
+                                       rankNoteOf(request, now)});
     finish(host, id, 0, request.maySent, now);
 }
 
--- a/src/host/stream_cmd.cpp
+++ b/src/host/stream_cmd.cpp
@@ -86,6 +86,7 @@
             return;
         }
         request.group.service = origin.service;
+        assignRank(host, request);
     }
     enqueueAdmitted(host, request, effects, now);
 }
--- a/src/queue/fair_queue.cpp
+++ b/src/queue/fair_queue.cpp
@@ -1,6 +1,8 @@
 /** @file fair_queue.cpp Weighted fair queueing of requests by virtual time. */
 #include "queue/fair_queue_func.h"
 
+#include "queue/ranked_queue_func.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -13,15 +15,37 @@
     return workClass == WorkClass::Interactive ? queue.interactive : queue.bulk;
 }
 
+void countGroupRemoval(FairQueue &queue, const WorkGroup &group)
+{
+    const auto count = queue.groupCounts.find(group);
+    if (--count->second == 0)
+        queue.groupCounts.erase(count);
+}
+
 /** Updates the counters after a request of @p group was removed from @p flow. */
 void countRemoval(FairQueue &queue, Flow &flow, const WorkGroup &group)
 {
     --flow.count;
     if (flow.waiting.at(group).empty())
         flow.waiting.erase(group);
-    const auto count = queue.groupCounts.find(group);
-    if (--count->second == 0)
-        queue.groupCounts.erase(count);
+    countGroupRemoval(queue, group);
+}
+
+/** Removes the next dispatchable request of the services with ranks. Services do not share targets,
+ * so their order does not matter. */
+std::optional<QueueEntry>
+dequeueFromRanked(FairQueue &queue,
+                  const std::function<bool(const WorkGroup &, WorkClass, RequestId)> &ready,
+                  TimePoint now)
+{
+    for (auto &[service, ranked] : queue.ranked) {
+        std::optional<QueueEntry> entry = dequeueRanked(ranked, ready, now);
+        if (!entry)
+            continue;
+        countGroupRemoval(queue, entry->group);
+        return entry;
+    }
+    return std::nullopt;
 }
 
 /**
@@ -58,6 +82,11 @@
 
 void enqueue(FairQueue &queue, const QueueEntry &entry, bool front)
 {
+    if (entry.rank) {
+        enqueueRanked(queue.ranked[entry.group.service], entry, front);
+        ++queue.groupCounts[entry.group];
+        return;
+    }
     FlowClass &flows = flowClassOf(queue, entry.workClass);
     Flow &flow = flows.flows[entry.account];
     if (flow.count == 0)
@@ -73,6 +102,13 @@
 
 bool removeQueued(FairQueue &queue, const QueueEntry &entry)
 {
+    if (entry.rank) {
+        const auto ranked = queue.ranked.find(entry.group.service);
+        const bool removed = ranked != queue.ranked.end() && removeRanked(ranked->second, entry);
+        if (removed)
+            countGroupRemoval(queue, entry.group);
+        return removed;
+    }
     FlowClass &flows = flowClassOf(queue, entry.workClass);
     const auto flow = flows.flows.find(entry.account);
     if (flow == flows.flows.end())
@@ -90,8 +126,11 @@
 
 std::optional<QueueEntry>
 dequeueNext(FairQueue &queue,
-            const std::function<bool(const WorkGroup &, WorkClass, RequestId)> &ready)
+            const std::function<bool(const WorkGroup &, WorkClass, RequestId)> &ready,
+            TimePoint now)
 {
+    if (std::optional<QueueEntry> ranked = dequeueFromRanked(queue, ready, now))
+        return ranked;
     const bool bulkFirst = queue.picks >= INTERACTIVE_PICKS_BEFORE_BULK;
     const WorkClass first = bulkFirst ? WorkClass::Bulk : WorkClass::Interactive;
     const WorkClass second = bulkFirst ? WorkClass::Interactive : WorkClass::Bulk;
@@ -103,16 +142,23 @@
     return entry;
 }
 
-void chargeFlow(FairQueue &queue, WorkClass workClass, const AccountId &account, double work,
-                double weight)
+void chargeFlow(FairQueue &queue, const QueueEntry &entry, double work, double weight)
 {
-    Flow &flow = flowClassOf(queue, workClass).flows[account];
-    flow.virtualTime += work / std::max(weight, 0.01);
+    const double time = work / std::max(weight, 0.01);
+    if (entry.rank)
+        queue.ranked[entry.group.service].ranks[*entry.rank].flows[entry.account].virtualTime
+            += time;
+    else
+        flowClassOf(queue, entry.workClass).flows[entry.account].virtualTime += time;
 }
 
 double countQueuedAhead(const FairQueue &queue, const QueueEntry &entry,
                         const std::function<double(const AccountId &)> &weightOf)
 {
+    if (entry.rank) {
+        const auto ranked = queue.ranked.find(entry.group.service);
+        return ranked == queue.ranked.end() ? 0 : countRankedAhead(ranked->second, entry, weightOf);
+    }
     const bool isBulk = entry.workClass == WorkClass::Bulk;
     const auto queuedOf = [&](const Flow &flow) {
         const auto waiting = flow.waiting.find(entry.group);
@@ -134,6 +180,16 @@
     return ahead;
 }
 
+bool isFirstOfRank(const FairQueue &queue, const QueueEntry &entry)
+{
+    const auto ranked = queue.ranked.find(entry.group.service);
+    if (!entry.rank || ranked == queue.ranked.end())
+        return entry.rank.has_value();
+    const auto &ranks = ranked->second.ranks;
+    return std::none_of(ranks.begin(), ranks.upper_bound(*entry.rank),
+                        [](const auto &item) { return item.second.count > 0; });
+}
+
 std::size_t countQueued(const FairQueue &queue, const WorkGroup &group)
 {
     const auto it = queue.groupCounts.find(group);
--- a/src/queue/fair_queue_base.h
+++ b/src/queue/fair_queue_base.h
@@ -1,25 +1,14 @@
 /** @file fair_queue_base.h Queued requests by scheduling class and client account. */
 #pragma once
 
-#include "config/config_type.h"
+#include "queue/ranked_queue_base.h"
+#include "queue/work_group_type.h"
 
 #include <deque>
 #include <map>
 
 namespace bilberry {
 
-/** Requests that the same targets can serve: those for one service, for one model variant, or for
- * one model variant on the engines of one service. */
-struct WorkGroup
-{
-    Variant variant; ///< Empty if the requests need no model.
-    std::string service; ///< Service name; empty: engines that belong to no service.
-
-    friend bool operator==(const WorkGroup &, const WorkGroup &) = default;
-    friend auto operator<=>(const WorkGroup &, const WorkGroup &) = default;
-};
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkGroup, variant, service)
-
 /** Queued requests of one client account in one scheduling class. */
 struct Flow
 {
@@ -51,7 +40,9 @@
     FlowClass bulk;
     int picks = 0; ///< Interactive requests picked since the last bulk request.
     std::map<WorkGroup, std::size_t> groupCounts; ///< Queued requests by group, without zeros.
+    std::map<std::string, RankedQueue> ranked; ///< Requests with a rank, by service.
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FairQueue, interactive, bulk, picks, groupCounts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FairQueue, interactive, bulk, picks, groupCounts,
+                                                ranked)
 
 } // namespace bilberry
--- a/src/queue/fair_queue_func.h
+++ b/src/queue/fair_queue_func.h
@@ -15,6 +15,8 @@
     AccountId account;
     WorkGroup group;
     WorkClass workClass = WorkClass::Interactive;
+    std::optional<int> rank{}; ///< Empty: ranks are not in use for the service.
+    StartLimits limits{}; ///< Only with a rank; not needed to remove the request.
 };
 
 /**
@@ -28,23 +30,25 @@
 bool removeQueued(FairQueue &queue, const QueueEntry &entry);
 
 /**
- * Removes the next request by class and fair share among those for which @p ready returns true.
+ * Removes the next request among those for which @p ready returns true: by class and fair share,
+ * or, for services with ranks, by rank, time left and fair share within the rank.
  * @param ready Returns whether a target can take a request now; called with the first request of
  *        each group in a flow.
  * @return The removed request, or nothing if no queued request is ready.
  */
 std::optional<QueueEntry>
 dequeueNext(FairQueue &queue,
-            const std::function<bool(const WorkGroup &, WorkClass, RequestId)> &ready);
+            const std::function<bool(const WorkGroup &, WorkClass, RequestId)> &ready,
+            TimePoint now);
 
 /**
  * Charges work to a flow, which moves the flow back in the fair order.
+ * @param entry A request of the flow.
  * @param work Work in tokens, or an estimate of it; negative to refund an estimate that was too
  *        high.
  * @param weight Weight of the account; values below 0.01 count as 0.01.
  */
-void chargeFlow(FairQueue &queue, WorkClass workClass, const AccountId &account, double work,
-                double weight);
+void chargeFlow(FairQueue &queue, const QueueEntry &entry, double work, double weight);
 
 /**
  * Estimates the queue position of a new request.
@@ -52,11 +56,15 @@
  * @param weightOf Returns the weight of an account.
  * @return Queued requests of the same group that are picked before the new request: all earlier
  *         ones of the account, those of other accounts up to their weighted share, and for a bulk
- *         request also all interactive ones.
+ *         request also all interactive ones; for a request with a rank also all of higher ranks.
  */
 double countQueuedAhead(const FairQueue &queue, const QueueEntry &entry,
                         const std::function<double(const AccountId &)> &weightOf);
 
+/** @return Whether the request, not yet queued, has a rank and is of a higher one than all queued
+ * requests of its service. */
+bool isFirstOfRank(const FairQueue &queue, const QueueEntry &entry);
+
 /** @return Number of queued requests of the group, in both classes. */
 std::size_t countQueued(const FairQueue &queue, const WorkGroup &group);
 
--- a/src/target/share.cpp
+++ b/src/target/share.cpp
@@ -1,6 +1,8 @@
 /** @file share.cpp Weighted max-min fair shares, computed by water filling. */
 #include "target/share_func.h"
 
+#include "queue/urgency_func.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -26,4 +28,22 @@
     return shares;
 }
 
+std::vector<double> sharesByRank(const std::vector<double> &demands, double capacity)
+{
+    if (demands.size() == 1)
+        return {capacity};
+    const double all = std::accumulate(demands.begin(), demands.end(), 0.0);
+    std::vector<double> shares(demands.size());
+    const double perDemand = capacity * leastPart(demands.back(), all) / all;
+    for (std::size_t i = 1; i < demands.size(); ++i)
+        shares[i] = std::min(demands[i], demands[i] * perDemand);
+    double left = capacity - std::accumulate(shares.begin(), shares.end(), 0.0);
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        const double more = std::min(demands[i] - shares[i], left);
+        shares[i] += more;
+        left -= more;
+    }
+    return shares;
+}
+
 } // namespace bilberry
--- a/src/target/share_func.h
+++ b/src/target/share_func.h
@@ -21,4 +21,12 @@
  */
 std::vector<double> maxMinShares(const std::vector<Claim> &claims, double capacity);
 
+/**
+ * Divides a contended capacity among ranks: each gets its least share, and the rest goes to the
+ * ranks in their order, up to their demands.
+ * @param demands Demands of the ranks, the first rank first.
+ * @return A share for each rank; their sum is the lesser of capacity and total demand.
+ */
+std::vector<double> sharesByRank(const std::vector<double> &demands, double capacity);
+
 } // namespace bilberry
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -46,6 +46,7 @@
 28.6 front-2 {"event":"requestRefused","type":"may_have_run","tag":"two-lengths","freshMs":900,"host":"front-2","unixMs":28601}
 30.0 front-1 {"event":"requestRefused","type":"token_rate_limited","tag":"over","freshMs":900,"host":"front-1","unixMs":30000}
 30.1 front-2 {"event":"requestRefused","type":"token_rate_limited","tag":"over2","freshMs":900,"host":"front-2","unixMs":30100}
+31.0 front-1 {"event":"requestRefused","type":"overloaded","tag":"low","variant":"s","rank":2,"msToGoal":-40.5,"freshMs":900,"host":"front-1","unixMs":31000}
 )";
 
 std::vector<LogLine> recorded()
@@ -73,6 +74,7 @@
     checkCause("unwanted", 1, "no target had m2/a1 and no load was ordered");
     checkCause("early", 1, "core-2 had become the leader 500 ms before");
     checkCause("over", 1, "over its rate: 2 such refusals");
+    checkCause("low", 1, "queued than could be served in time; among them it was of rank 2");
     checkCause("turn", 1, "t3 takes 1.5 a second of all hosts, as it said 400 ms before");
 }
 
--- a/src/tests/folder_test.cpp
+++ b/src/tests/folder_test.cpp
@@ -35,6 +35,23 @@
     cr_assert(fields.contains("routes[r].path"));
 }
 
+// Guards against priorities that are lost, or outside their range, in a folder.
+Test(folder, priorities_are_read_and_checked)
+{
+    const CheckedFolder checked
+        = mergeConfigFiles({{"x.json",
+                             R"({"accounts":[{"id":"a","priority":2},{"id":"b"}],)"
+                             R"("routes":[{"id":"r","path":"/r","service":"s","priority":1}]})"}});
+    cr_assert(checked.problems.empty());
+    cr_assert_eq(*checked.config.accounts.at(AccountId("a")).priority, 2);
+    cr_assert_not(checked.config.accounts.at(AccountId("b")).priority);
+    cr_assert_eq(checked.config.routes.at(RouteId("r")).priority, 1);
+    const CheckedFolder wrong
+        = mergeConfigFiles({{"x.json", R"({"accounts":[{"id":"a","priority":-1}]})"}});
+    cr_assert_eq(wrong.problems.size(), 1);
+    cr_assert_eq(wrong.problems.front().field, "accounts[a].priority");
+}
+
 Test(settings, invalid_and_unknown_fields_are_reported)
 {
     const CheckedSettings checked = parseSettings(
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -92,6 +92,33 @@
     cr_assert_eq(headerValue(sent, "X-Bilberrybend-Deadline-Ms"), "900");
 }
 
+// Guards against engines that admit and preempt requests without regard to their ranks.
+Test(platform, urgency_is_sent_where_ranks_are_in_use)
+{
+    ParsedRequest parsed = platformEdge().parseRequest(RequestId(1), makeRaw(), 0);
+    StartAttempt attempt = makeAttempt();
+    const char *name = "X-Bilberrybend-Request-Urgency";
+    cr_assert_eq(headerValue(platformEdge().attemptHeaders(parsed.forwarded, attempt), name), "");
+    attempt.urgency = 7;
+    cr_assert_eq(headerValue(platformEdge().attemptHeaders(parsed.forwarded, attempt), name), "7");
+}
+
+// Guards against a client account whose own priority is lost, and against one that is no number.
+Test(platform, priorities_of_routes_and_accounts_are_decoded)
+{
+    std::string reason;
+    const auto plain = platform::readConfig(CONFIG, reason);
+    cr_assert(plain);
+    cr_assert_not(plain->config.accounts.at(AccountId("t")).priority);
+    cr_assert_eq(plain->config.routes.begin()->second.priority, 1);
+    const auto own = platform::readConfig(
+        configWith(R"("unit":"tokens")", R"("priority":2,"unit":"tokens")"), reason);
+    cr_assert(own);
+    cr_assert_eq(*own->config.accounts.at(AccountId("t")).priority, 2);
+    cr_assert_not(isValid(configWith(R"("unit":"tokens")", R"("priority":"x","unit":"tokens")")));
+    cr_assert_not(isValid(configWith(R"("priority":1)", R"("priority":-1)")));
+}
+
 Test(platform, refusal_status_guarantees_not_run_only_if_true)
 {
     const auto status = [](RefusalCode code, Execution execution) {
