--- a/src/host/host.cpp
+++ b/src/host/host.cpp
@@ -106,6 +106,8 @@
         onTargetStated(host, *stated, effects, now);
     else if (const auto *tick = std::get_if<TickEvent>(&event))
         noteTimeOfDay(host, *tick, now);
+    if (std::holds_alternative<TickEvent>(event))
+        refuseTooLate(host, effects, now);
     refuseExpired(host, effects, now);
     dispatchAll(host, effects, now);
     if (std::holds_alternative<TickEvent>(event)) {
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -55,6 +55,7 @@
 31.6 core-2 {"event":"usageRefused","window":72,"status":409,"host":"core-2","unixMs":31600}
 50.0 core-2 {"event":"loadForecast","version":9,"loads":2,"needs":31,"withoutRoom":3,"parallelism":2,"host":"core-2","unixMs":50000}
 50.3 front-1 {"event":"requestRefused","type":"no_target","tag":"rare","variant":"m7","retryAfterMs":41200,"freshMs":900,"host":"front-1","unixMs":50300}
+31.0 front-1 {"event":"requestRefused","type":"overloaded","tag":"low","variant":"s","rank":2,"msToGoal":-40.5,"freshMs":900,"host":"front-1","unixMs":31000}
 )";
 
 std::vector<LogLine> recorded()
@@ -82,6 +83,7 @@
     checkCause("unwanted", 1, "no target had m2/a1 and no load was ordered");
     checkCause("early", 1, "core-2 had become the leader 500 ms before");
     checkCause("over", 1, "over its rate: 2 such refusals");
+    checkCause("low", 1, "queued than could be served in time; among them it was of rank 2");
     checkCause("turn", 1, "t3 takes 1.5 a second of all hosts, as it said 400 ms before");
 }
 
