Add: [Tests] Scenarios of clients that nobody controls

Clients with large, unfinished or oversized bodies and with many connections take memory and descriptors of a process without a bound. The product is not changed yet.

--- a/src/tests/system/fleet.py
+++ b/src/tests/system/fleet.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -70,8 +71,12 @@
 class Site:
     """Test cluster of daemons and targets; close() ends all its processes."""
 
-    def __init__(self, build, hosts=3, controls=3, zones=3, config=None, traced=None):
+    def __init__(self, build, hosts=3, controls=3, zones=3, config=None, traced=None,
+                 settings=None, descriptors=None):
+        """settings: added to those of each daemon; descriptors: limit of each daemon."""
         self.build = build
+        self.settings = settings or {}
+        self.descriptors = descriptors
         self.run_dir = tempfile.mkdtemp(prefix="bb-")
         self.traced = traced
         self.processes = {}
@@ -94,7 +99,8 @@
             "host": host, "zone": zone, "control": host in self.controls,
             "callers": f"127.0.0.1:{callers}", "operators": f"127.0.0.1:{operators}",
             "targets": f"127.0.0.1:{targets}", "drainMs": 500,
-            "controlHosts": {h: f"127.0.0.1:{self.ports[h][3]}" for h in self.controls}}
+            "controlHosts": {h: f"127.0.0.1:{self.ports[h][3]}" for h in self.controls},
+            **self.settings}
         if host == self.traced:
             settings["traceFile"] = f"{self.run_dir}/{host}.trace"
         if host in self.controls:
@@ -106,7 +112,10 @@
     def start(self, name, command):
         self.commands[name] = command
         log = open(f"{self.run_dir}/{name}.log", "ab")
-        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+        limit = self.descriptors if name in self.hosts else None
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log, stderr=log, preexec_fn=limit and (
+                lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))))
 
     def start_host(self, host, found=False):
         """Starts a daemon. With found, it is a founding member of a new control group."""
--- a/src/tests/system/run.py
+++ b/src/tests/system/run.py
@@ -9,6 +9,7 @@
 import traceback
 
 import scenarios
+import uncontrolled_clients
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from unit import ROOT, read_known_failures  # pylint: disable=wrong-import-position
@@ -30,17 +31,23 @@
             print(f"    FAILED {guarantee}: {detail}", flush=True)
 
 
+def scenarios_of(module):
+    """Returns the names and functions of a module's scenarios in the order of its source."""
+    found = [(name[9:], function) for name, function in inspect.getmembers(module)
+             if name.startswith("scenario_")]
+    return sorted(found, key=lambda item: inspect.getsourcelines(item[1])[1])
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
     parser.add_argument("--suite", default="all", help="ci, all, or names separated by commas")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    all_scenarios = [(name[9:], function) for name, function in inspect.getmembers(scenarios)
-                     if name.startswith("scenario_")]
-    all_scenarios.sort(key=lambda item: inspect.getsourcelines(item[1])[1])
+    all_scenarios = scenarios_of(scenarios) + scenarios_of(uncontrolled_clients)
     if options.suite == "ci":
-        selected = [item for item in all_scenarios if item[0] in scenarios.CI]
+        in_ci = scenarios.CI | uncontrolled_clients.CI
+        selected = [item for item in all_scenarios if item[0] in in_ci]
     elif options.suite == "all":
         selected = all_scenarios
     else:
