Add: [Tests] Answers with a status outside 100 to 599

Answers of targets with the status 000, 099, 600 or 999, as final and as interim answers, for requests, streams, orders and reports, and answers at the ends of the range.

--- a/src/tests/answer_fault_test.cpp
+++ b/src/tests/answer_fault_test.cpp
@@ -601,6 +601,135 @@
     }
 }
 
+namespace {
+
+/** @return Status codes that no answer has, on both sides of the range 100 to 599. */
+std::vector<std::string> impossibleStatuses()
+{
+    return {"000", "001", "099", "600", "999"};
+}
+
+/** @return Answers with @p status in the place of the final status, and before the final answer. */
+std::vector<std::string> answersWithStatus(const std::string &status, const std::string &fields)
+{
+    const std::string line = "HTTP/1.1 " + status + " X\r\n";
+    const std::string good = "HTTP/1.1 200 OK\r\n" + fields + withLength("ok");
+    return {line + fields + withLength("ok"), line + "\r\n" + good,
+            "HTTP/1.1 100 Continue\r\n\r\n" + line + fields + withLength("ok"),
+            "HTTP/1.1 103 Early Hints\r\n\r\n" + line + "\r\n" + good};
+}
+
+} // namespace
+
+// Guards against an answer with an impossible status that is passed on to the caller with the
+// target's seal, taken for a refusal, or skipped as an interim answer.
+Test(answer_fault, an_answer_with_an_impossible_status_is_no_answer, .timeout = 120)
+{
+    for (const Interface &protocol : interfaces()) {
+        const std::string good = "HTTP/1.1 200 OK\r\n" + protocol.identity + withLength("ok");
+        for (const std::string &status : impossibleStatuses()) {
+            for (const std::string &fields :
+                 {protocol.identity, protocol.identity + protocol.notRun,
+                  protocol.identity + "Content-Type: text/event-stream\r\n"}) {
+                for (const std::string &answer : answersWithStatus(status, fields)) {
+                    ScriptedTarget target({{answer, false}, {good, false}});
+                    Caller caller(protocol.edge);
+                    cr_expect_eq(caller.send(target.address), AttemptResult::InvalidResponse,
+                                 "%s: %s", protocol.name, answer.c_str());
+                    cr_expect_not(caller.answerBegun(), "%s: %s", protocol.name, answer.c_str());
+                    cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s: %s",
+                                 protocol.name, answer.c_str());
+                    cr_expect_eq(target.connections, 2, "%s: %s", protocol.name, answer.c_str());
+                }
+            }
+        }
+    }
+}
+
+// Guards against an impossible status in the middle of a caller's stream that ends it.
+Test(answer_fault, an_impossible_status_does_not_go_on_with_a_stream, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        for (const std::string &status : impossibleStatuses()) {
+            const std::string answer = "HTTP/1.1 " + status + " X\r\n" + protocol.identity
+                + "Content-Type: text/event-stream\r\n" + withLength(events(3, 5));
+            ScriptedTarget target({brokenStream(protocol), {answer, true}});
+            Caller caller(protocol.edge);
+            cr_assert_eq(caller.send(target.address), AttemptResult::Lost);
+            const std::string before = caller.relayed();
+            cr_expect_eq(caller.send(target.address, 2), AttemptResult::InvalidResponse, "%s: %s",
+                         protocol.name, answer.c_str());
+            cr_expect_eq(caller.relayed(), before, "%s: %s", protocol.name, answer.c_str());
+            cr_expect_not(caller.answerEnded(), "%s: %s", protocol.name, answer.c_str());
+        }
+    }
+}
+
+// Guards against an order that counts as accepted or refused by an answer behind an impossible
+// status.
+Test(answer_fault, an_order_with_an_impossible_status_is_undetermined, .timeout = 60)
+{
+    for (const std::string &status : impossibleStatuses()) {
+        const std::string line = "HTTP/1.1 " + status + " X\r\n";
+        for (const std::string &answer :
+             {line + withLength("ok"), line + "\r\nHTTP/1.1 202 Accepted\r\n" + withLength(""),
+              line + "\r\nHTTP/1.1 409 Conflict\r\n" + withLength("")}) {
+            ScriptedTarget target({{answer, false}});
+            cr_expect_eq(replyToOrder(target.address), OrderReply::Unknown, "%s", answer.c_str());
+        }
+    }
+}
+
+// Guards against a report on accepted orders that is read from an answer with an impossible status,
+// or behind one.
+Test(answer_fault, a_report_with_an_impossible_status_is_none, .timeout = 60)
+{
+    const std::string report = withLength("{\"seqNo\": 3, \"busy\": false}");
+    const auto inspect = [](const std::string &answer) {
+        absl::Mutex mutex;
+        std::optional<InspectionEvent> event;
+        ScriptedTarget target({{answer, false}});
+        TargetClient client(
+            std::make_shared<ExchangeTable>(), platformEdge(), "leader", [](HostEvent &&) {},
+            [&](ControlEvent &&got) {
+                absl::MutexLock lock(&mutex);
+                event = std::get<InspectionEvent>(got);
+            });
+        InspectTarget item;
+        item.target = TargetId("t");
+        item.address = target.address;
+        cr_assert(client.inspect(item));
+        absl::MutexLock lock(&mutex);
+        const auto answered = [&]() { return event.has_value(); };
+        mutex.AwaitWithTimeout(absl::Condition(&answered),
+                               absl::Microseconds(WAIT_TIMEOUT.count()));
+        cr_assert(event.has_value());
+        return event->inspection.has_value();
+    };
+    cr_expect(inspect("HTTP/1.1 200 OK\r\n" + report));
+    for (const std::string &status : impossibleStatuses()) {
+        const std::string line = "HTTP/1.1 " + status + " X\r\n";
+        cr_expect_not(inspect(line + report), "%s", status.c_str());
+        cr_expect_not(inspect(line + "\r\nHTTP/1.1 200 OK\r\n" + report), "%s", status.c_str());
+    }
+}
+
+// Guards against a range that is too narrow: the lowest and highest status codes of answers.
+Test(answer_fault, answers_at_the_ends_of_the_status_range_are_relayed, .timeout = 60)
+{
+    for (const Interface &protocol : interfaces()) {
+        for (const std::string status : {"200", "299", "404", "599"}) {
+            ScriptedTarget target({{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 X\r\n\r\nHTTP/1.1 "
+                                        + status + " X\r\n" + protocol.identity + withLength("ok"),
+                                    false}});
+            Caller caller(protocol.edge);
+            cr_expect_eq(caller.send(target.address), AttemptResult::Answered, "%s: %s",
+                         protocol.name, status.c_str());
+            cr_expect_eq(caller.relayed(), "ok", "%s: %s", protocol.name, status.c_str());
+        }
+    }
+}
+
 // Guards against a check that refuses well-formed answers.
 Test(answer_fault, well_formed_answers_are_relayed, .timeout = 60)
 {
