--- a/src/tests/system/uncontrolled_clients.py
+++ b/src/tests/system/uncontrolled_clients.py
@@ -161,13 +161,12 @@
 
 
 @contextlib.contextmanager
-def small_site(build, service_ms=20, descriptors=None):
+def small_site(build, target_options=(), descriptors=None):
     """Starts a control member, a host with low limits, and a service."""
     site = Site(build, hosts=2, controls=1, zones=1, config=default_config(),
                 settings={"maxBodyBytes": BODY_BYTES}, descriptors=descriptors)
     try:
-        site.start_target("c1", "z1", "--service-ms", str(service_ms), kind="service",
-                          service="calendar")
+        site.start_target("c1", "z1", *target_options, kind="service", service="calendar")
         site.set_up()
         site.wait_targets(1)
         wait_for(lambda: ordinary(site) == 200)
@@ -211,10 +210,11 @@
 
 
 def scenario_large_bodies_at_once(build, report, seed):
-    """Whole bodies of the largest size at once, which wait for a slow target, take bounded memory."""
+    """Whole bodies of the largest size at once, which a slow target works on, take bounded memory."""
     del seed
     body = b"x" * BODY_BYTES
-    with small_site(build, service_ms=400) as site:
+    slow = ("--service-ms", "2000", "--concurrent", "200")
+    with small_site(build, target_options=slow) as site:
         def act(client):
             client.send(with_length(site, BODY_BYTES) + body)
             return client.read_status()
