Fix: [Net] An answer with a status above 599 is no answer

A target's answer with the status 600 to 999 was relayed to the caller with the target's seal, went on with a stream, or was taken for the reply to an order. addAnswerLine(), which reads the answers to requests, orders and inspections line by line, interim ones included, refuses such a status line as it does one below 100.

--- a/src/net/grammar.cpp
+++ b/src/net/grammar.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t STATUS_DIGITS = 3;
 constexpr std::size_t MAX_LOGGED_NAME_BYTES = 64;
 constexpr int FIRST_STATUS = 100; ///< Lowest status code.
+constexpr int LAST_STATUS = 599; ///< Highest status code.
 constexpr int SWITCHING_PROTOCOLS = 101;
 constexpr int FIRST_FINAL_STATUS = 200;
 constexpr int NO_CONTENT = 204;
@@ -134,7 +135,8 @@
         return GrammarFault{GrammarRule::StartLine, ""};
     lines.status = std::stoi(std::string(code));
     // No request asks to switch protocols.
-    if (lines.status < FIRST_STATUS || lines.status == SWITCHING_PROTOCOLS)
+    if (lines.status < FIRST_STATUS || lines.status > LAST_STATUS
+        || lines.status == SWITCHING_PROTOCOLS)
         return GrammarFault{GrammarRule::StartLine, ""};
     lines.inHead = true;
     return std::nullopt;
