Add: [Net] Bounds of request bodies and callers' connections; strict lines of chunks

Bodies of requests had no bound for a process, and connections none below 20,000: a few dozen clients with large or unfinished bodies took a host over its memory. RequestMemory counts the bodies that a process holds on all its HTTP ports by what their strings allocate; small ones have room of their own; the body without progress for longest yields, with 503 and Retry-After. Bodies over maxBodyBytes get 413 at the head, or when they pass the limit. The bounds follow the new settings memoryMb and maxDescriptors.

libmicrohttpd reads the lines of chunks leniently and hides NUL LF in a head. RequestStream follows what arrives on a connection as a strict reader does, by a definition of recv(), and such requests get 400 and the end of their connection; without it a chunked request would end its connection.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -12,6 +12,8 @@
 constexpr int MAX_PORT = 65'535;
 constexpr int MAX_VOTERS = 9;
 constexpr std::int64_t MAX_BODY_BYTES = 1 << 30;
+constexpr std::int64_t MAX_MEMORY_MB = 1 << 20;
+constexpr std::int64_t MAX_DESCRIPTORS = 1 << 30;
 constexpr std::int64_t MAX_ORDER_SEPARATION_MS = 600'000;
 
 bool isIpAddress(const std::string &text)
@@ -142,6 +144,10 @@
     settings.drain = std::chrono::milliseconds(reader.readInteger("drainMs", 5'000, 0, 600'000));
     settings.logFile = reader.readString("logFile", "");
     settings.traceFile = reader.readString("traceFile", "");
+    settings.memoryMb
+        = static_cast<std::size_t>(reader.readInteger("memoryMb", 0, 0, MAX_MEMORY_MB));
+    settings.maxDescriptors
+        = static_cast<std::size_t>(reader.readInteger("maxDescriptors", 0, 0, MAX_DESCRIPTORS));
     reader.reportUnknownFields();
     if (settings.controlHosts.empty() && settings.controlSeeds.empty())
         reader.addProblem("controlHosts",
--- a/src/config/settings_type.h
+++ b/src/config/settings_type.h
@@ -69,6 +69,8 @@
     Duration grace{};
     std::string logFile; ///< Path of the log file; empty: standard error.
     std::string traceFile; ///< File to which decisions are recorded; empty: no recording.
+    std::size_t memoryMb = 0; ///< Memory of the machine for this process, in MiB; 0: not known.
+    std::size_t maxDescriptors = 0; ///< Descriptors for this process; 0: the system's limit.
 };
 
 } // namespace bilberry
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -114,6 +114,7 @@
     : settings(settings)
     , edge(edge)
     , exchanges(std::make_shared<ExchangeTable>())
+    , bodies(std::make_shared<RequestMemory>(requestLimits(settings, systemDescriptorLimit())))
     , tasks(QUEUE_CAPACITY)
 {
     HostSettings own;
@@ -146,13 +147,14 @@
     runner->targets = std::make_unique<TargetClient>(
         runner->exchanges, edge, settings.host.value,
         [self](HostEvent &&event) { self->tasks.push(Task(std::move(event))); },
-        std::move(onControlEvent));
+        std::move(onControlEvent), MAX_ANSWER_MEMORY_BYTES,
+        runner->bodies->limits.pooledConnections);
     if (settings.entry) {
-        BOOST_OUTCOME_TRY(
-            callers,
-            CallerServer::start(settings, edge, runner->exchanges, [self](HostEvent &&event) {
-                return self->post(std::move(event));
-            }));
+        BOOST_OUTCOME_TRY(callers,
+                          CallerServer::start(
+                              settings, edge, runner->exchanges,
+                              [self](HostEvent &&event) { return self->post(std::move(event)); },
+                              runner->bodies));
         runner->callers = std::move(callers);
     }
     runner->thread = std::thread([self]() { self->runDecisions(); });
@@ -207,9 +209,9 @@
 
 std::string HostRunner::metrics()
 {
-    return this->queryState<std::string>([](const Host &state) {
-        return formatMetrics(state, MonotonicClock::now());
-    }) + formatGrammarFaults();
+    return this->queryState<std::string>(
+               [](const Host &state) { return formatMetrics(state, MonotonicClock::now()); })
+        + formatGrammarFaults() + this->bodies->formatMetrics();
 }
 
 OperatorAnswer HostRunner::callLeader(LeaderCall call)
--- a/src/daemon/host_runner_base.h
+++ b/src/daemon/host_runner_base.h
@@ -80,6 +80,9 @@
      */
     void setSeeds(std::vector<std::string> addresses);
 
+    /** @return The count of the bodies of requests, for all HTTP ports of the process. */
+    const std::shared_ptr<RequestMemory> &requestMemory() const { return this->bodies; }
+
     /** Begins a graceful shutdown; drained() tells when it is complete. */
     void beginShutdown();
     /** Stops and joins the decision thread, then stops the server for callers and the client for
@@ -135,6 +138,7 @@
     Settings settings;
     const Edge &edge;
     std::shared_ptr<ExchangeTable> exchanges;
+    std::shared_ptr<RequestMemory> bodies;
     std::unique_ptr<TargetClient> targets;
     std::unique_ptr<CallerServer> callers;
     BoundedQueue<Task> tasks; ///< For the decision thread.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -229,22 +229,25 @@
         sender->post(ControlMemberIdentified{{control->member().value, settings.peers.text()}});
     }
     const DaemonRoles roles{host.value().get(), control.get()};
+    const std::shared_ptr<RequestMemory> &bodies = roles.host->requestMemory();
     const auto operators = HttpServer::start(
-        settings.operators, [roles](const HttpRequest &r) { return answerOperator(roles, r); });
+        settings.operators, [roles](const HttpRequest &r) { return answerOperator(roles, r); },
+        bodies);
     if (!operators)
         return reportStartFailure("operators " + settings.operators.text(), operators.error());
     Result<std::unique_ptr<HttpServer>> targets = std::unique_ptr<HttpServer>();
     if (!settings.targets.ip.empty())
-        targets = HttpServer::start(settings.targets, [roles, &edge](const HttpRequest &r) {
-            return edge.answerTarget(roles, r);
-        });
+        targets = HttpServer::start(
+            settings.targets,
+            [roles, &edge](const HttpRequest &r) { return edge.answerTarget(roles, r); }, bodies);
     if (!targets)
         return reportStartFailure("targets " + settings.targets.text(), targets.error());
     Result<std::unique_ptr<HttpServer>> readiness = std::unique_ptr<HttpServer>();
     if (!settings.readiness.ip.empty())
-        readiness = HttpServer::start(settings.readiness, [roles, &edge](const HttpRequest &r) {
-            return edge.answerReadiness(roles, r);
-        });
+        readiness = HttpServer::start(
+            settings.readiness,
+            [roles, &edge](const HttpRequest &r) { return edge.answerReadiness(roles, r); },
+            bodies);
     if (!readiness)
         return reportStartFailure("readiness " + settings.readiness.text(), readiness.error());
     logEvent("started",
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -1,29 +1,58 @@
 /** @file caller_server.cpp HTTP server for callers on libmicrohttpd, with suspended connections. */
 #include "net/caller_server_base.h"
 
+#include "core/log_func.h"
 #include "net/edge_type.h"
 #include "net/grammar_func.h"
 #include "net/grammar_log_func.h"
 #include "net/listen_func.h"
 #include "net/request_head_func.h"
+#include "net/request_stream_base.h"
 
+#include <absl/strings/str_cat.h>
 #include <atomic>
 #include <cstring>
 #include <microhttpd.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace bilberry {
 
 namespace {
 
-constexpr unsigned MAX_CONNECTIONS = 20'000;
+/** Connections that libmicrohttpd accepts above the bound, so that new ones are seen and the one
+ * without progress for longest can yield to them. */
+constexpr std::size_t SPARE_CONNECTIONS = 32;
 constexpr unsigned IDLE_TIMEOUT_SECONDS = 20;
 /** libmicrohttpd's memory for one connection; also bounds the size of a request's headers. */
 constexpr std::size_t CONNECTION_MEMORY_BYTES = 32 << 10;
 constexpr Duration UPLOAD_TIMEOUT = 30s; ///< For the complete body; slower uploads are aborted.
 constexpr std::size_t STREAM_BLOCK_BYTES = 16 << 10;
 constexpr std::size_t MAX_LOGGED_ID_BYTES = 256;
+/** Time without bytes after which the connection of a refused body is closed. */
+constexpr unsigned REFUSED_TIMEOUT_SECONDS = 2;
+
+/** Open connection of a caller; accessed by libmicrohttpd's thread alone. */
+struct OpenConnection
+{
+    int socket = -1;
+    TimePoint lastProgress;
+    bool waits = false; ///< Its request has been received and is answered.
+    bool yielded = false; ///< Shut down; libmicrohttpd is about to close it.
+};
+
+/** @return The bytes of @p answer as the last one on a connection. */
+std::string lastAnswer(const EncodedAnswer &answer)
+{
+    std::string text
+        = absl::StrCat("HTTP/1.1 ", answer.status,
+                       " \r\nConnection: close\r\nContent-Length: ", answer.body.size(),
+                       "\r\nContent-Type: ", answer.contentType, "\r\n");
+    for (const auto &[name, value] : answer.headers)
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    return absl::StrCat(text, "\r\n", answer.body);
+}
 
 } // namespace
 
@@ -35,16 +64,23 @@
     {
         Impl *server = nullptr;
         RawRequest raw;
-        bool tooLarge = false; ///< The body exceeds the configured limit.
         TimePoint startedAt;
+        std::optional<std::size_t> announced; ///< Length of the body.
+        bool chunked = false; ///< The body has a transfer coding.
+        HeldBody held; ///< Room of the body; passed to the exchange.
+        bool refused = false; ///< The body found no room; the rest of it is discarded.
+        std::size_t discarded = 0; ///< Bytes of the body that were discarded.
+        OpenConnection *open = nullptr;
         std::shared_ptr<Exchange> exchange;
         RawTarget target;
+        FollowedRequest followed;
         int socket = -1; ///< File descriptor of the connection; -1: unknown.
     };
 
-    static void *onRequestStart(void *, const char *uri, MHD_Connection *)
+    static void *onRequestStart(void *, const char *uri, MHD_Connection *connection)
     {
         auto *context = new Context;
+        context->followed = beginFollowedRequest(socketOf(connection));
         context->target = RawTarget::copyOf(uri);
         return context;
     }
@@ -58,7 +94,7 @@
         if (context->server == nullptr)
             return server.readHead(*context, connection, method, version);
         if (*uploadSize > 0)
-            return server.readBody(*context, upload, uploadSize);
+            return server.readBody(*context, connection, upload, uploadSize);
         if (!context->exchange)
             return server.endBody(*context, connection);
         return server.reply(*context, connection);
@@ -71,19 +107,94 @@
         context.startedAt = MonotonicClock::now();
         RequestHead head = readRequestHead(connection, method, std::move(context.target), version);
         context.raw = std::move(head.raw);
+        if (!head.fault)
+            head.fault = context.followed.fault();
         if (!head.fault)
             head.fault = this->edge.checkHeaders(context.raw.headers);
         if (head.fault)
             return this->refuseMalformed(context, connection, *head.fault);
-        const MHD_ConnectionInfo *info
-            = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        context.socket = info == nullptr ? -1 : info->connect_fd;
+        context.socket = socketOf(connection);
+        const MHD_ConnectionInfo *state
+            = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+        context.open
+            = state == nullptr ? nullptr : static_cast<OpenConnection *>(state->socket_context);
+        this->noteProgress(context, false);
+        context.announced = announcedLength(context.raw.headers);
+        context.chunked = !headerValue(context.raw.headers, "Transfer-Encoding").empty();
+        if (context.announced.value_or(0) > this->maxBodyBytes)
+            this->refuseBody(context, connection, RequestEnd::BodyTooLarge);
         return MHD_YES;
     }
 
+    static void noteProgress(const Context &context, bool waits)
+    {
+        if (context.open == nullptr)
+            return;
+        context.open->lastProgress = MonotonicClock::now();
+        context.open->waits = waits;
+    }
+
+    /** @return The refusal of a request whose body has not been received, as the connection's last
+     * answer. */
+    std::string encodeLastAnswer(const Context &context, RequestEnd end) const
+    {
+        RawRequest head{context.raw.method, context.raw.target, context.raw.headers, ""};
+        const ParsedRequest parsed
+            = this->edge.parseRequest(RequestId(), std::move(head), WallClock::unixSeconds());
+        const std::string &tag = parsed.event.tag;
+        const std::string id = isFieldValue(tag) && tag.size() <= MAX_LOGGED_ID_BYTES ? tag : "";
+        RefuseCaller refusal;
+        refusal.execution = Execution::NotRun;
+        refusal.code = RefusalCode::BodyTooLarge;
+        if (end != RequestEnd::BodyTooLarge) {
+            refusal.code = RefusalCode::Overloaded;
+            refusal.retryAfter = ROOM_RETRY_AFTER;
+        }
+        return lastAnswer(this->edge.encodeRefusal(refusal, id));
+    }
+
+    /**
+     * Answers a request in the middle of its body. What still arrives is discarded up to the limit
+     * of one body, since a connection that is closed with unread bytes loses the answer.
+     */
+    void refuseBody(Context &context, MHD_Connection *connection, RequestEnd end) const
+    {
+        logEventRateLimited("requestBodyRefused",
+                            {{"why", end == RequestEnd::BodyTooLarge ? "tooLarge" : "noRoom"},
+                             {"received", context.raw.body.size()},
+                             {"announced", context.announced.value_or(0)},
+                             {"heldInAll", this->memory->heldLarge() + this->memory->heldSmall()}});
+        this->memory->count(end);
+        sendLastAnswer(context.socket, this->encodeLastAnswer(context, end));
+        context.refused = true;
+        std::string().swap(context.raw.body);
+        context.held.release();
+        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                  REFUSED_TIMEOUT_SECONDS);
+    }
+
+    /** Begins the count of a body. A large one that yields is answered, a small one is closed. */
+    HeldBody holdBody(const Context &context, TimePoint now) const
+    {
+        const bool answers = context.announced.value_or(SIZE_MAX) > SMALL_BODY_BYTES;
+        std::string answer
+            = answers ? this->encodeLastAnswer(context, RequestEnd::BodyYielded) : "";
+        return this->memory->add(
+            [socket = context.socket, answer = std::move(answer)]() {
+                sendLastAnswer(socket, answer);
+                ::shutdown(socket, SHUT_RDWR);
+            },
+            now);
+    }
+
     MHD_Result endBody(Context &context, MHD_Connection *connection)
     {
-        if (const std::optional<GrammarFault> fault = checkTrailer(connection))
+        if (context.refused || !context.held.complete())
+            return MHD_NO; // Answered already; closes the connection.
+        std::optional<GrammarFault> fault = context.followed.fault();
+        if (!fault)
+            fault = checkTrailer(connection);
+        if (fault)
             return this->refuseMalformed(context, connection, *fault);
         return this->submit(context, connection);
     }
@@ -110,15 +221,33 @@
         return queueClosing(connection, static_cast<unsigned>(answer.status), response);
     }
 
-    MHD_Result readBody(Context &context, const char *upload, std::size_t *uploadSize) const
+    MHD_Result readBody(Context &context, MHD_Connection *connection, const char *upload,
+                        std::size_t *uploadSize) const
     {
-        if (MonotonicClock::now() - context.startedAt > UPLOAD_TIMEOUT)
+        const TimePoint now = MonotonicClock::now();
+        if (now - context.startedAt > UPLOAD_TIMEOUT)
             return MHD_NO;
-        if (context.raw.body.size() + *uploadSize > this->maxBodyBytes)
-            context.tooLarge = true;
-        else
-            context.raw.body.append(upload, *uploadSize);
-        *uploadSize = 0;
+        const std::size_t size = std::exchange(*uploadSize, 0);
+        if (context.refused) {
+            context.discarded += size;
+            return context.discarded <= this->maxBodyBytes ? MHD_YES : MHD_NO;
+        }
+        this->noteProgress(context, false);
+        if (!context.held.isCounted())
+            context.held = this->holdBody(context, now);
+        switch (appendBody(context.raw.body, context.held, {upload, size}, context.announced,
+                           this->maxBodyBytes, now)) {
+        case BodyAppend::Appended:
+            break;
+        case BodyAppend::TooLarge:
+            this->refuseBody(context, connection, RequestEnd::BodyTooLarge);
+            break;
+        case BodyAppend::NoRoom:
+            this->refuseBody(context, connection, RequestEnd::NoRoom);
+            break;
+        case BodyAppend::Yielded:
+            return MHD_NO;
+        }
         return MHD_YES;
     }
 
@@ -128,10 +257,10 @@
     {
         const RequestId id(++this->lastRequest);
         context.exchange = this->exchanges->add(id);
+        context.exchange->heldBody = std::move(context.held);
+        this->noteProgress(context, true);
         ParsedRequest parsed
             = this->edge.parseRequest(id, std::move(context.raw), WallClock::unixSeconds());
-        if (context.tooLarge)
-            parsed.refusal = RefusalCode::BodyTooLarge;
         context.exchange->forwarded = std::move(parsed.forwarded);
         {
             absl::MutexLock lock(&context.exchange->mutex);
@@ -181,7 +310,10 @@
             MHD_add_response_header(response, "Content-Type", exchange.contentType.c_str());
         for (const auto &[name, value] : exchange.headers)
             MHD_add_response_header(response, name.c_str(), value.c_str());
-        if (this->closeAfterAnswer.load())
+        // Where a chunked body ends is known only if its lines were followed; else nothing behind
+        // it is read as a request.
+        const bool endKnown = !context.chunked || context.followed.isFollowed();
+        if (this->closeAfterAnswer.load() || !endKnown)
             MHD_add_response_header(response, "Connection", "close");
         const MHD_Result queued
             = MHD_queue_response(connection, static_cast<unsigned>(exchange.status), response);
@@ -234,6 +366,8 @@
             return;
         if (context->exchange)
             context->server->releaseExchange(*context->exchange);
+        if (context->server != nullptr)
+            noteProgress(*context, false);
         delete context;
         *state = nullptr;
     }
@@ -255,11 +389,61 @@
             this->onEvent(CallerDisconnected{exchange.id});
     }
 
+    /** Keeps track of the open connections; @c openConnections has stable addresses. */
+    static void onConnection(void *self, MHD_Connection *connection, void **state,
+                             MHD_ConnectionNotificationCode code)
+    {
+        auto &server = *static_cast<Impl *>(self);
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+            unfollowSocket(server.openConnections[connection].socket);
+            server.yieldedConnections -= server.openConnections[connection].yielded ? 1 : 0;
+            server.openConnections.erase(connection);
+            return;
+        }
+        OpenConnection &added = server.openConnections[connection];
+        added.socket = socketOf(connection);
+        followSocket(added.socket);
+        added.lastProgress = MonotonicClock::now();
+        *state = &added;
+        server.boundConnections(added);
+    }
+
+    /** Shuts down the connection that has made no progress for longest and waits for no answer, if
+     * there are too many; else the one that was added. */
+    void boundConnections(OpenConnection &added)
+    {
+        const std::size_t open = this->openConnections.size() - this->yieldedConnections;
+        if (open <= this->memory->limits.callerConnections)
+            return;
+        OpenConnection *chosen = nullptr;
+        TimePoint oldest = added.lastProgress - MIN_IDLE_TO_YIELD;
+        for (auto &[connection, state] : this->openConnections) {
+            if (state.yielded || state.waits || state.lastProgress > oldest)
+                continue;
+            chosen = &state;
+            oldest = state.lastProgress;
+        }
+        OpenConnection &ending = chosen == nullptr ? added : *chosen;
+        logEventRateLimited("connectionClosedForLimit",
+                            {{"open", open},
+                             {"limit", this->memory->limits.callerConnections},
+                             {"idleMs", toMilliseconds(added.lastProgress - ending.lastProgress)}});
+        this->memory->count(chosen == nullptr ? RequestEnd::NoConnection
+                                              : RequestEnd::ConnectionYielded);
+        ending.yielded = true;
+        ++this->yieldedConnections;
+        ::shutdown(ending.socket, SHUT_RDWR);
+    }
+
     explicit Impl(const Edge &edge)
         : edge(edge)
     {
     }
 
+    std::shared_ptr<RequestMemory> memory;
+    std::map<MHD_Connection *, OpenConnection> openConnections;
+    std::size_t yieldedConnections = 0; ///< Of @c openConnections.
+
     const Edge &edge;
     std::size_t maxBodyBytes = 0;
     std::shared_ptr<ExchangeTable> exchanges;
@@ -288,10 +472,14 @@
 Result<std::unique_ptr<CallerServer>> CallerServer::start(const Settings &settings,
                                                           const Edge &edge,
                                                           std::shared_ptr<ExchangeTable> exchanges,
-                                                          OnEvent onEvent)
+                                                          OnEvent onEvent,
+                                                          std::shared_ptr<RequestMemory> memory)
 {
     auto impl = std::make_unique<Impl>(edge);
     impl->maxBodyBytes = settings.maxBodyBytes;
+    impl->memory = memory
+        ? std::move(memory)
+        : std::make_shared<RequestMemory>(requestLimits(settings, systemDescriptorLimit()));
     impl->exchanges = std::move(exchanges);
     impl->onEvent = std::move(onEvent);
     BOOST_OUTCOME_TRY(socket, bindTo(settings.callers));
@@ -304,14 +492,21 @@
 {
     if (this->impl->daemon != nullptr)
         return boost::outcome_v2::success();
+    const RequestLimits &limits = this->impl->memory->limits;
+    const int receiveBuffer = static_cast<int>(limits.receiveBufferBytes);
+    if (receiveBuffer > 0)
+        ::setsockopt(this->impl->socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer,
+                     sizeof(receiveBuffer));
     BOOST_OUTCOME_TRYV(startListening(this->impl->socket));
     this->impl->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr, nullptr,
         &Impl::onRequest, this->impl.get(), MHD_OPTION_LISTEN_SOCKET, this->impl->socket,
-        MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
-        IDLE_TIMEOUT_SECONDS, MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
-        MHD_OPTION_URI_LOG_CALLBACK, &Impl::onRequestStart, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
-        &Impl::onCompleted, nullptr, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned>(limits.callerConnections + SPARE_CONNECTIONS),
+        MHD_OPTION_NOTIFY_CONNECTION, &Impl::onConnection, this->impl.get(),
+        MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_SECONDS, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        CONNECTION_MEMORY_BYTES, MHD_OPTION_URI_LOG_CALLBACK, &Impl::onRequestStart, nullptr,
+        MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, nullptr, MHD_OPTION_END);
     if (this->impl->daemon == nullptr)
         return Errc::AddressInUse;
     return boost::outcome_v2::success();
--- a/src/net/caller_server_base.h
+++ b/src/net/caller_server_base.h
@@ -22,13 +22,15 @@
 
     /**
      * @param edge Must outlive the server.
+     * @param memory Counts the bodies of the process; null: a count of the server's own.
      * @return The server, bound to its port but refusing connections until open().
      * Errc::AddressInUse if binding fails, Errc::InvalidSettings if the configured address is not
      * an IP address.
      */
     static Result<std::unique_ptr<CallerServer>> start(const Settings &settings, const Edge &edge,
                                                        std::shared_ptr<ExchangeTable> exchanges,
-                                                       OnEvent onEvent);
+                                                       OnEvent onEvent,
+                                                       std::shared_ptr<RequestMemory> memory = {});
 
     ~CallerServer();
 
--- a/src/net/exchange_base.h
+++ b/src/net/exchange_base.h
@@ -6,6 +6,7 @@
 #include "core/ids_type.h"
 #include "host/host_type.h"
 #include "net/answer_memory_base.h"
+#include "net/request_memory_base.h"
 
 #include <absl/synchronization/mutex.h>
 #include <functional>
@@ -68,6 +69,8 @@
     void close();
 
     const RequestId id;
+    /** Room of the request's body, which is kept for further attempts until the request ends. */
+    HeldBody heldBody;
     ForwardedRequest forwarded; ///< Set before other threads access the exchange.
 
     absl::Mutex mutex;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,22 +1,29 @@
 /** @file http_server.cpp HTTP server on libmicrohttpd with one thread per connection. */
 #include "net/http_server_base.h"
 
+#include "core/log_func.h"
 #include "net/connection_state_func.h"
 #include "net/grammar_log_func.h"
 #include "net/listen_func.h"
 #include "net/request_head_func.h"
+#include "net/request_stream_base.h"
 
 #include <absl/strings/ascii.h>
 #include <microhttpd.h>
+#include <sys/socket.h>
 
 namespace bilberry {
 
 namespace {
 
-constexpr unsigned MAX_CONNECTIONS = 256;
 constexpr unsigned IDLE_TIMEOUT_SECONDS = 30;
 constexpr std::size_t MAX_BODY_BYTES = 32 << 20;
 constexpr unsigned STATUS_BAD_REQUEST = 400;
+constexpr unsigned STATUS_BODY_TOO_LARGE = 413;
+constexpr const char *BODY_TOO_LARGE_ANSWER
+    = "HTTP/1.1 413 \r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *NO_ROOM_ANSWER
+    = "HTTP/1.1 503 \r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr std::size_t ESCAPE_DIGITS = 2; ///< Hexadecimal digits behind a percent sign.
 
 int hexDigit(char c)
@@ -66,8 +73,9 @@
 class HttpServer::Impl
 {
 public:
-    explicit Impl(Handler handler)
+    Impl(Handler handler, std::shared_ptr<RequestMemory> memory)
         : handler(std::move(handler))
+        , memory(std::move(memory))
     {
     }
 
@@ -77,11 +85,25 @@
         RawTarget target;
         bool headRead = false;
         HttpRequest request;
+        std::optional<std::size_t> announced; ///< Length of the body.
+        bool chunked = false; ///< The body has a transfer coding.
+        HeldBody held; ///< Room of the body.
+        FollowedRequest followed;
     };
 
-    static void *onRequestStart(void *, const char *uri, MHD_Connection *)
+    static void onConnection(void *, MHD_Connection *connection, void **,
+                             MHD_ConnectionNotificationCode code)
+    {
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+            unfollowSocket(socketOf(connection));
+        else
+            followSocket(socketOf(connection));
+    }
+
+    static void *onRequestStart(void *, const char *uri, MHD_Connection *connection)
     {
         auto *context = new Context;
+        context->followed = beginFollowedRequest(socketOf(connection));
         context->target = RawTarget::copyOf(uri);
         return context;
     }
@@ -92,44 +114,85 @@
     {
         auto &context = *static_cast<Context *>(*state);
         HttpRequest &request = context.request;
+        auto &server = *static_cast<Impl *>(self);
         if (!context.headRead)
-            return readHead(context, connection, method, version);
-        if (*uploadSize > 0) {
-            if (request.body.size() + *uploadSize > MAX_BODY_BYTES)
-                return MHD_NO;
-            request.body.append(upload, *uploadSize);
-            *uploadSize = 0;
-            return MHD_YES;
-        }
-        if (const std::optional<GrammarFault> fault = checkTrailer(connection))
+            return server.readHead(context, connection, method, version);
+        if (*uploadSize > 0)
+            return server.readBody(context, connection, {upload, std::exchange(*uploadSize, 0)});
+        if (!context.held.complete())
+            return MHD_NO; // Answered already; closes the connection.
+        std::optional<GrammarFault> fault = context.followed.fault();
+        if (!fault)
+            fault = checkTrailer(connection);
+        if (fault)
             return refuseMalformed(connection, *fault);
         noteCaller(request, connection);
-        const HttpReply reply = static_cast<Impl *>(self)->handler(request);
+        const HttpReply reply = server.handler(request);
         MHD_Response *response = makeResponse(reply);
+        if (context.chunked && !context.followed.isFollowed())
+            return queueClosing(connection, static_cast<unsigned>(reply.status), response);
         const MHD_Result queued
             = MHD_queue_response(connection, static_cast<unsigned>(reply.status), response);
         MHD_destroy_response(response);
         return queued;
     }
 
+    MHD_Result readBody(Context &context, MHD_Connection *connection, std::string_view bytes) const
+    {
+        const TimePoint now = MonotonicClock::now();
+        const int socket = socketOf(connection);
+        if (!context.held.isCounted())
+            context.held = this->memory->add(
+                [socket]() {
+                    sendLastAnswer(socket, NO_ROOM_ANSWER);
+                    ::shutdown(socket, SHUT_RDWR);
+                },
+                now);
+        const BodyAppend result = appendBody(context.request.body, context.held, bytes,
+                                             context.announced, MAX_BODY_BYTES, now);
+        if (result == BodyAppend::Appended)
+            return MHD_YES;
+        const bool tooLarge = result == BodyAppend::TooLarge;
+        if (result != BodyAppend::Yielded) {
+            this->memory->count(tooLarge ? RequestEnd::BodyTooLarge : RequestEnd::NoRoom);
+            logEventRateLimited("requestBodyRefused",
+                                {{"why", tooLarge ? "tooLarge" : "noRoom"},
+                                 {"port", "inner"},
+                                 {"received", context.request.body.size()},
+                                 {"announced", context.announced.value_or(0)}});
+            sendLastAnswer(socket, tooLarge ? BODY_TOO_LARGE_ANSWER : NO_ROOM_ANSWER);
+        }
+        return MHD_NO;
+    }
+
     static void noteCaller(HttpRequest &request, MHD_Connection *connection)
     {
-        const int socket
-            = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        const int socket = socketOf(connection);
         request.arrivedAt = MonotonicClock::now() - timeSinceLastData(socket);
         request.callerWaits = [socket]() { return isPeerConnected(socket); };
     }
 
-    static MHD_Result readHead(Context &context, MHD_Connection *connection, const char *method,
-                               const char *version)
+    MHD_Result readHead(Context &context, MHD_Connection *connection, const char *method,
+                        const char *version) const
     {
         context.headRead = true;
         RequestHead head = readRequestHead(connection, method, std::move(context.target), version);
+        if (!head.fault)
+            head.fault = context.followed.fault();
         if (head.fault)
             return refuseMalformed(connection, *head.fault);
         std::optional<std::string> path = decodePath(head.raw.target);
         if (!path)
             return refuseMalformed(connection, {GrammarRule::Target, ""});
+        context.announced = announcedLength(head.raw.headers);
+        context.chunked = !headerValue(head.raw.headers, "Transfer-Encoding").empty();
+        if (context.announced.value_or(0) > MAX_BODY_BYTES) {
+            this->memory->count(RequestEnd::BodyTooLarge);
+            const nlohmann::json body{{"error", "body_too_large"}};
+            return queueClosing(
+                connection, STATUS_BODY_TOO_LARGE,
+                makeResponse({STATUS_BODY_TOO_LARGE, "application/json", body.dump()}));
+        }
         context.request.method = std::move(head.raw.method);
         context.request.path = *std::move(path);
         return MHD_YES;
@@ -152,6 +215,7 @@
     }
 
     Handler handler;
+    std::shared_ptr<RequestMemory> memory;
     MHD_Daemon *daemon = nullptr;
     int port = 0;
 };
@@ -167,15 +231,20 @@
         MHD_stop_daemon(this->impl->daemon);
 }
 
-Result<std::unique_ptr<HttpServer>> HttpServer::start(const Endpoint &endpoint, Handler handler)
+Result<std::unique_ptr<HttpServer>> HttpServer::start(const Endpoint &endpoint, Handler handler,
+                                                      std::shared_ptr<RequestMemory> memory)
 {
-    auto impl = std::make_unique<Impl>(std::move(handler));
+    if (!memory)
+        memory
+            = std::make_shared<RequestMemory>(requestLimits(Settings(), systemDescriptorLimit()));
+    auto impl = std::make_unique<Impl>(std::move(handler), std::move(memory));
     BOOST_OUTCOME_TRY(socket, listenOn(endpoint));
     impl->port = boundPort(socket);
     impl->daemon = MHD_start_daemon(
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, 0, nullptr,
         nullptr, &Impl::onRequest, impl.get(), MHD_OPTION_LISTEN_SOCKET, socket,
-        MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+        MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(impl->memory->limits.portConnections),
+        MHD_OPTION_NOTIFY_CONNECTION, &Impl::onConnection, nullptr, MHD_OPTION_CONNECTION_TIMEOUT,
         IDLE_TIMEOUT_SECONDS, MHD_OPTION_URI_LOG_CALLBACK, &Impl::onRequestStart, nullptr,
         MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, nullptr, MHD_OPTION_END);
     if (impl->daemon == nullptr)
--- a/src/net/http_server_base.h
+++ b/src/net/http_server_base.h
@@ -11,6 +11,8 @@
 
 namespace bilberry {
 
+class RequestMemory;
+
 /** Complete HTTP request. */
 struct HttpRequest
 {
@@ -39,9 +41,11 @@
     /** Called on the connection's thread, concurrently for several connections. */
     using Handler = std::function<HttpReply(const HttpRequest &)>;
 
-    /** @return The running server. Errc::AddressInUse if binding or listening fails,
+    /** @param memory Counts the bodies of the process; null: a count of the server's own.
+     * @return The running server. Errc::AddressInUse if binding or listening fails,
      * Errc::InvalidSettings if the endpoint has no valid IP address. */
-    static Result<std::unique_ptr<HttpServer>> start(const Endpoint &endpoint, Handler handler);
+    static Result<std::unique_ptr<HttpServer>> start(const Endpoint &endpoint, Handler handler,
+                                                     std::shared_ptr<RequestMemory> memory = {});
 
     ~HttpServer();
 
--- a/src/net/request_head.cpp
+++ b/src/net/request_head.cpp
@@ -9,6 +9,7 @@
 
 #include "net/grammar_func.h"
 
+#include <absl/strings/numbers.h>
 #include <cstring>
 #include <functional>
 #include <microhttpd.h>
@@ -171,6 +172,21 @@
     return checkFields(copyOf(fields));
 }
 
+int socketOf(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *info
+        = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+}
+
+std::optional<std::size_t> announcedLength(const HeaderList &headers)
+{
+    std::uint64_t length = 0;
+    if (!absl::SimpleAtoi(headerValue(headers, "Content-Length"), &length))
+        return std::nullopt;
+    return length;
+}
+
 MHD_Result queueClosing(MHD_Connection *connection, unsigned status, MHD_Response *response)
 {
     MHD_add_response_header(response, "Connection", "close");
--- a/src/net/request_head_func.h
+++ b/src/net/request_head_func.h
@@ -38,6 +38,12 @@
 /** @return Fault in the trailer of a request whose body has been read. */
 std::optional<GrammarFault> checkTrailer(MHD_Connection *connection);
 
+/** @return Descriptor of the connection; -1 if it is not known. */
+int socketOf(MHD_Connection *connection);
+
+/** @return Length of the body that a well-formed head announces; nothing if it announces none. */
+std::optional<std::size_t> announcedLength(const HeaderList &headers);
+
 /**
  * Queues an answer after which the connection is closed; no byte that has arrived behind the head
  * is read as a request. Releases @p response.
--- a/src/net/target_client.cpp
+++ b/src/net/target_client.cpp
@@ -14,7 +14,6 @@
 constexpr std::size_t TASK_QUEUE_CAPACITY = 65'536;
 constexpr int POLL_TIMEOUT_MS = 20;
 constexpr Duration STALL_CHECK_INTERVAL = 20ms;
-constexpr long MAX_POOLED_CONNECTIONS = 1'024;
 
 /** Task: cancels an attempt. */
 struct Cancel
@@ -49,7 +48,8 @@
 {
 public:
     Impl(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
-         OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent, std::size_t maxAnswerBytes)
+         OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent, std::size_t maxAnswerBytes,
+         std::size_t pooledConnections)
         : exchanges(std::move(exchanges))
         , memory(std::make_shared<AnswerMemory>(maxAnswerBytes))
         , edge(edge)
@@ -59,7 +59,7 @@
         , taskQueue(TASK_QUEUE_CAPACITY)
         , multi(curl_multi_init())
     {
-        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, MAX_POOLED_CONNECTIONS);
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, static_cast<long>(pooledConnections));
         this->taskQueue.setWakeup([this]() { curl_multi_wakeup(this->multi); });
         this->thread = std::thread([this]() { this->run(); });
     }
@@ -298,10 +298,11 @@
 
 TargetClient::TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge,
                            std::string holder, OnAttemptEvent onAttemptEvent,
-                           OnControlEvent onControlEvent, std::size_t maxAnswerBytes)
+                           OnControlEvent onControlEvent, std::size_t maxAnswerBytes,
+                           std::size_t pooledConnections)
     : impl(std::make_unique<Impl>(std::move(exchanges), edge, std::move(holder),
                                   std::move(onAttemptEvent), std::move(onControlEvent),
-                                  maxAnswerBytes))
+                                  maxAnswerBytes, pooledConnections))
 {
 }
 
--- a/src/net/target_client_base.h
+++ b/src/net/target_client_base.h
@@ -12,6 +12,8 @@
 
 namespace bilberry {
 
+constexpr std::size_t DEFAULT_POOLED_CONNECTIONS = 1'024;
+
 /** Sends attempts, orders and inspections to targets, and relays answers to callers. Thread-safe:
  * each call is queued for the client's thread, and the results come back through callbacks on that
  * thread. */
@@ -28,11 +30,13 @@
     /**
      * @param edge Must outlive the client.
      * @param holder Id of this process's host; orders carry it as their sender.
+     * @param pooledConnections Connections to targets that are kept for reuse.
      * @param maxAnswerBytes Bound of the bytes of all answers to attempts that are held at a time.
      */
     TargetClient(std::shared_ptr<ExchangeTable> exchanges, const Edge &edge, std::string holder,
                  OnAttemptEvent onAttemptEvent, OnControlEvent onControlEvent,
-                 std::size_t maxAnswerBytes = MAX_ANSWER_MEMORY_BYTES);
+                 std::size_t maxAnswerBytes = MAX_ANSWER_MEMORY_BYTES,
+                 std::size_t pooledConnections = DEFAULT_POOLED_CONNECTIONS);
     ~TargetClient();
     TargetClient(const TargetClient &) = delete;
     TargetClient &operator=(const TargetClient &) = delete;
--- a/src/tests/generated_head_test.cpp
+++ b/src/tests/generated_head_test.cpp
@@ -328,12 +328,6 @@
     return out;
 }
 
-/** @return Whether a NUL stands before an LF; see nul_before_a_line_feed_does_not_end_a_line. */
-bool hasNulBeforeLineFeed(const std::string &bytes)
-{
-    return bytes.find(std::string("\0\n", 2)) != std::string::npos;
-}
-
 void checkSameTaken(Recorder &recorder, const std::string &bytes)
 {
     RawConnection connection(recorder.port());
@@ -360,8 +354,7 @@
     for (int i = 0; i < numberOfCases(); ++i) {
         std::string bytes = generator.connection();
         generator.disturb(bytes);
-        if (!hasNulBeforeLineFeed(bytes))
-            checkSameTaken(recorder, bytes);
+        checkSameTaken(recorder, bytes);
     }
 }
 
--- a/src/tests/malformed_request_test.cpp
+++ b/src/tests/malformed_request_test.cpp
@@ -175,6 +175,53 @@
     cr_expect(front.target.take().empty());
 }
 
+// Guards against a request behind a body whose chunks a strict reader does not take for such: the
+// library reads their lines leniently, and no strict reader gets as far as that request.
+Test(malformed_request, nothing_behind_a_malformed_chunk_runs, .timeout = 60)
+{
+    const std::vector<std::string> bodies{
+        "5\nhello\r\n0\r\n\r\n",         "5\r\nhello\n0\r\n\r\n",
+        "5\r\nhello\r\n0\n\r\n",         "5;a\nhello\r\n0\r\n\r\n",
+        "5\r\nhello\r\n0\r\n\n",         "5;a\rb\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello\r\n0;a\x01\r\n\r\n", "5\r\nhello\r\n0\r\nX-A: b\n\r\n"};
+    for (const bool platform : {true, false}) {
+        Front front(edgeOf(platform));
+        for (const std::string &body : bodies) {
+            const std::string bytes
+                = beginHead("outer") + "Transfer-Encoding: chunked\r\n\r\n" + body;
+            for (std::size_t cut = bytes.size() - body.size(); cut <= bytes.size(); ++cut) {
+                RawConnection connection(front.port());
+                connection.send(goodRequest("before") + bytes.substr(0, cut));
+                absl::SleepFor(absl::Milliseconds(2));
+                connection.send(bytes.substr(cut) + goodRequest("behind"));
+                connection.read(0);
+                cr_expect_eq(connection.statuses(), (std::vector<int>{200, 400}), "%s: %s",
+                             body.c_str(), connection.received.c_str());
+                cr_expect_eq(front.target.take().size(), 1, "%s", body.c_str());
+            }
+        }
+    }
+}
+
+// Guards against well-formed chunks that are refused, or that end the connection, wherever their
+// bytes are cut.
+Test(malformed_request, well_formed_chunks_are_taken_wherever_their_bytes_are_cut, .timeout = 60)
+{
+    Front front(platformEdge());
+    const std::string body = "5;a=\"b c\"\r\nhello\r\n00a;d\r\n0123456789\r\n0\r\n\r\n";
+    const std::string bytes = beginHead("chunks") + "Transfer-Encoding: chunked\r\n\r\n" + body;
+    for (std::size_t cut = bytes.size() - body.size(); cut <= bytes.size(); ++cut) {
+        RawConnection connection(front.port());
+        connection.send(bytes.substr(0, cut));
+        absl::SleepFor(absl::Milliseconds(2));
+        connection.send(bytes.substr(cut) + goodRequest("behind"));
+        connection.read(2);
+        cr_expect_eq(connection.statuses(), (std::vector<int>{200, 200}), "%zu: %s", cut,
+                     connection.received.c_str());
+        cr_expect_eq(front.target.take().size(), 2);
+    }
+}
+
 namespace {
 
 /** Well-formed request, and the lines that the target gets besides those of every request. */
