--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,6 +15,7 @@
 #include <curl/curl.h>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <random>
 #include <sstream>
 
@@ -24,6 +25,10 @@
 
 constexpr int EXIT_SETTINGS = 2; ///< Exit status for invalid options or settings.
 constexpr int EXIT_START = 3; ///< Exit status if a part of the daemon cannot start.
+/** Allocations from this size on are returned to the system when they are freed. glibc raises its
+ * own threshold with the sizes that are freed, and the bodies of requests then leave gaps in the
+ * heap. */
+constexpr int MMAP_THRESHOLD_BYTES = 128 << 10;
 constexpr Duration RELOAD_INTERVAL = 2s; ///< Interval of checks for a changed settings file.
 
 std::optional<std::string> readFile(const std::string &file)
@@ -199,6 +204,7 @@
     sigdelset(&signals, SIGFPE);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
     curl_global_init(CURL_GLOBAL_ALL);
     openLog(settings.logFile, settings.host.value);
     if (settings.control) {
