--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -13,6 +13,8 @@
 constexpr int MAX_PORT = 65'535;
 constexpr int MAX_VOTERS = 9;
 constexpr std::int64_t MAX_BODY_BYTES = 1 << 30;
+constexpr std::int64_t MAX_MEMORY_MB = 1 << 20;
+constexpr std::int64_t MAX_DESCRIPTORS = 1 << 30;
 constexpr std::int64_t MAX_ORDER_SEPARATION_MS = 600'000;
 constexpr double MIN_INFRASTRUCTURE_RATE = 0.1; ///< In calls per second.
 constexpr double MAX_INFRASTRUCTURE_RATE = 1e6; ///< In calls per second.
@@ -196,6 +198,10 @@
     readInfrastructure(reader, settings);
     settings.logFile = reader.readString("logFile", "");
     settings.traceFile = reader.readString("traceFile", "");
+    settings.memoryMb
+        = static_cast<std::size_t>(reader.readInteger("memoryMb", 0, 0, MAX_MEMORY_MB));
+    settings.maxDescriptors
+        = static_cast<std::size_t>(reader.readInteger("maxDescriptors", 0, 0, MAX_DESCRIPTORS));
     reader.reportUnknownFields();
     if (settings.controlHosts.empty() && settings.controlSeeds.empty())
         reader.addProblem("controlHosts",
