--- a/src/host/admission_cmd.cpp
+++ b/src/host/admission_cmd.cpp
@@ -2,6 +2,7 @@
 #include "host/host_internal.h"
 
 #include "queue/fair_queue_func.h"
+#include "queue/urgency_func.h"
 #include "state/view_func.h"
 
 #include <absl/strings/match.h>
@@ -98,7 +99,7 @@
     check.request.account = account->id;
     check.request.group = {variant, ""};
     check.request.workClass = model->second.workClass;
-    check.request.priority = account->priority.value_or(0);
+    check.request.priority = makePriority(account->priority, 0);
     check.request.estimate = estimateTokens(host, check.request);
     setDeadline(check.request, model->second.timeLimitMs, now);
     return std::nullopt;
@@ -148,7 +149,7 @@
     const Route *route = findRoute(host.view, check.request.asked);
     if (route == nullptr)
         return RefusalCode::UnknownRoute;
-    check.request.priority = route->priority;
+    check.request.priority = makePriority(std::nullopt, route->priority);
     if (!route->open) {
         const Account *account = nullptr;
         if (const auto refusal = checkKey(host, check.request.asked, account))
@@ -156,7 +157,7 @@
         if (!mayCallRoute(*account, route->id))
             return RefusalCode::Forbidden;
         check.request.account = account->id;
-        check.request.priority = account->priority.value_or(route->priority);
+        check.request.priority = makePriority(account->priority, route->priority);
         check.request.estimate
             = check.request.asked.declaredTokens.value_or(account->tokensOfPlainCall);
     }
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -111,7 +111,7 @@
     bool heldByRate = false; ///< The request has waited for a target's request rate.
     int rank = 0; ///< Rank of the request, 0 first; 0 unless ranks are in use.
     bool ranked = false; ///< Whether ranks were in use for its service at its admission.
-    int priority = 0; ///< Priority of its account, or of its route.
+    Priority priority;
     StartLimits limits; ///< Set when the request is queued, if it is ranked.
     TimePoint goalAt; ///< Time by which the answer should begin; unset if the route has no goal.
     bool countedInUsage = false; ///< The request has been counted in a usage window.
--- a/src/host/rank_cmd.cpp
+++ b/src/host/rank_cmd.cpp
@@ -48,7 +48,7 @@
     request.rank = 0;
     if (!request.ranked)
         return;
-    const std::vector<int> &priorities = ranks->second;
+    const std::vector<Priority> &priorities = ranks->second;
     const auto own = std::lower_bound(priorities.begin(), priorities.end(), request.priority);
     request.rank = static_cast<int>(own - priorities.begin());
 }
--- a/src/queue/urgency.cpp
+++ b/src/queue/urgency.cpp
@@ -32,20 +32,20 @@
 
 /** Adds the ranks of a route's requests to its services. */
 void addRoute(const Route &route, const Priorities &accounts,
-              std::map<std::string, std::set<int>> &found)
+              std::map<std::string, std::set<Priority>> &found)
 {
-    std::set<int> own;
+    std::set<Priority> own;
     if (route.open)
-        own.insert(route.priority);
+        own.insert(makePriority(std::nullopt, route.priority));
     for (const std::optional<int> &priority : accounts) {
         if (!route.open)
-            own.insert(priority.value_or(route.priority));
+            own.insert(makePriority(priority, route.priority));
     }
     if (route.split.empty())
-        found[route.service].merge(std::set<int>(own));
+        found[route.service].merge(std::set<Priority>(own));
     for (const RouteShare &share : route.split) {
         if (share.weight > 0)
-            found[share.service].merge(std::set<int>(own));
+            found[share.service].merge(std::set<Priority>(own));
     }
 }
 
@@ -87,6 +87,11 @@
     return std::clamp(LOWEST_RANK_SHARE * all / lowest, MIN_LEAST_PART, MAX_LEAST_PART);
 }
 
+Priority makePriority(std::optional<int> account, int route)
+{
+    return {account.value_or(route), route};
+}
+
 RankTable makeRankTable(const ClusterView &view)
 {
     // Most accounts may use all routes; those that name routes are looked at one by one.
@@ -103,7 +108,7 @@
         for (const std::string &route : account.routes)
             named[RouteId(route)].insert(account.priority);
     }
-    std::map<std::string, std::set<int>> found;
+    std::map<std::string, std::set<Priority>> found;
     for (const auto &[id, route] : view.routes) {
         Priorities accounts = named[id];
         accounts.insert(everywhere.begin(), everywhere.end());
@@ -111,7 +116,7 @@
     }
     for (const std::optional<int> &priority : ofModels) {
         if (!view.models.empty())
-            found[""].insert(priority.value_or(0));
+            found[""].insert(makePriority(priority, 0));
     }
     RankTable table;
     for (const auto &[service, priorities] : found) {
--- a/src/queue/urgency_func.h
+++ b/src/queue/urgency_func.h
@@ -5,6 +5,7 @@
 #include "state/view_base.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace bilberry {
 
@@ -35,6 +36,9 @@
  */
 double leastPart(double lowest, double all);
 
+/** @param account Priority of the account; empty: it has none of its own. */
+Priority makePriority(std::optional<int> account, int route);
+
 /** @return Ranks of the requests that routes and accounts lead to each service; service "" stands
  * for models that belong to no service. */
 RankTable makeRankTable(const ClusterView &view);
--- a/src/queue/urgency_type.h
+++ b/src/queue/urgency_type.h
@@ -36,8 +36,19 @@
     friend auto operator<=>(const Place &, const Place &) = default;
 };
 
+/** Priority of a request: that of its account comes first, and that of its route decides between
+ * requests of accounts with the same one. */
+struct Priority
+{
+    int account = 0; ///< Of the account; of the route if the account has none.
+    int route = 0;
+
+    friend auto operator<=>(const Priority &, const Priority &) = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Priority, account, route)
+
 /** Priorities in use, ascending, by service; only of services with at least two. The index of a
  * priority in the list is the rank. */
-using RankTable = std::map<std::string, std::vector<int>>;
+using RankTable = std::map<std::string, std::vector<Priority>>;
 
 } // namespace bilberry
