--- a/src/control/usage_cmd.cpp
+++ b/src/control/usage_cmd.cpp
@@ -94,6 +94,21 @@
     (void)proposeUsage(control, std::move(command), effects, now);
 }
 
+/** @return Whether all hosts with recorded totals of the window have reported since @p end, as far
+ * as their reports to an earlier leader tell. */
+bool haveCountersReported(const Control &control, WindowId window, Duration end)
+{
+    const Leadership &leadership = *control.leadership;
+    const auto open = control.cluster.usage.open.find(window);
+    if (open == control.cluster.usage.open.end())
+        return true;
+    return std::all_of(open->second.begin(), open->second.end(), [&](const auto &item) {
+        const auto host = leadership.hosts.find(item.first.host);
+        return host != leadership.hosts.end()
+            && trueTime(leadership.usage, host->second.lastReportAt) >= end;
+    });
+}
+
 /** @return Whether all hosts that have reported in the window or later have reported since its end.
  */
 bool isComplete(const Control &control, WindowId window)
@@ -101,6 +116,8 @@
     const Leadership &leadership = *control.leadership;
     const Duration begin = windowBegin(window, control.duties.window);
     const Duration end = windowBegin(window + 1, control.duties.window) + REPORT_MARGIN;
+    if (!haveCountersReported(control, window, end))
+        return false;
     return std::all_of(leadership.hosts.begin(), leadership.hosts.end(), [&](const auto &item) {
         const Duration reported = trueTime(leadership.usage, item.second.lastReportAt);
         return reported < begin || reported >= end;
