--- a/src/tests/rank_load_test.cpp
+++ b/src/tests/rank_load_test.cpp
@@ -180,10 +180,10 @@
     for (const auto &[id, target] : simulation.targets)
         cr_expect_leq(target.maxRunning, REQUESTS_PER_SLOT * SLOTS, "%s", id.value.c_str());
     for (const RankOutcome &rank : out.ranks)
-        cr_log_warn("%d hosts%s: %d sent, answered %.3f, in the objective %.3f", play.hosts,
+        cr_log_info("%d hosts%s: %d sent, answered %.3f, in the objective %.3f", play.hosts,
                     play.ranksInUse ? "" : " without ranks", rank.sent, rank.share(),
                     rank.goalShare());
-    cr_log_warn("mean %.3f of %d, %d under load, %d early refusals, %.0f messages/s", out.mean(),
+    cr_log_info("mean %.3f of %d, %d under load, %d early refusals, %.0f messages/s", out.mean(),
                 out.sent, out.answeredUnderLoad, out.earlyRefusals,
                 static_cast<double>(simulation.messages - messages) / (SECONDS + 3));
     return out;
