Fix: [Host] Recorded traces replay as before: the urgency of an attempt is not serialized

The new field of StartAttempt changed the digest of all effects in the trace test, also where ranks are not in use. The decisions were the same.

--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -297,7 +297,9 @@
     bool holdFailures = false; ///< Server errors are withheld from the caller, for a retry.
     bool reportBegin = false; ///< ResponseBegan is to be reported.
     bool reportStatement = false; ///< TargetStated is to be reported, also if it states nothing.
-    std::optional<int> urgency; ///< Urgency for an engine's queue, 0 first; empty: not stated.
+    /** Urgency for an engine's queue, 0 first; empty: not stated. Not serialized: recorded traces
+     * compare a digest of all effects. */
+    std::optional<int> urgency;
     RequestWaits waits;
     RankNote ranking;
 };
@@ -305,7 +307,7 @@
                                                 remaining, deadline, sendBy, firstByteLimit,
                                                 interByteLimit, freshConnection, keepAnswer,
                                                 correlation, resumeAfter, account, holdFailures,
-                                                reportBegin, reportStatement, targetStart, urgency)
+                                                reportBegin, reportStatement, targetStart)
 
 /** Cancels a running attempt; its AttemptEnded still follows. */
 struct CancelAttempt
