--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -179,6 +179,7 @@
     settings.foundsFromSeeds = reader.readBoolean("found", false);
     settings.voters = static_cast<int>(reader.readInteger("voters", 0, 0, MAX_VOTERS));
     settings.prefetch = reader.readBoolean("prefetch", false);
+    settings.loadForecasts = reader.readBoolean("loadForecasts", false);
     settings.rateLeeway = reader.readNumber("rateLeeway", 0, 0, 1);
     settings.burstLeeway = reader.readNumber("burstLeeway", 0, 0, 1e9);
     settings.orderSeparation = std::chrono::milliseconds(
--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -114,6 +114,7 @@
     // the budgets that hosts still hold after they have lost contact with the control group.
     runner->control.leeway = {settings.rateLeeway / 2, settings.burstLeeway / 2};
     runner->control.tuning.prefetches = settings.prefetch;
+    runner->control.tuning.forecastsLoads = settings.loadForecasts;
     runner->control.tuning.orderSeparation = settings.orderSeparation;
     runner->control.duties = toDutySettings(settings);
     ControlRunner *self = runner.get();
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -47,7 +47,6 @@
     tuning.usesOrderPrecondition = true;
     tuning.evictionIdleTime = 300ms;
     tuning.prioritizesByDemand = true;
-    tuning.forecastsLoads = true;
     tuning.requestsPerReplica = 24;
     return tuning;
 }
--- a/src/tests/load_forecast_test.cpp
+++ b/src/tests/load_forecast_test.cpp
@@ -578,6 +578,7 @@
         this->target.start = Incarnation(1);
         applyAnnouncement(this->registry, this->target, this->now);
         this->planner.tuning = makeFastLoadTuning();
+        this->planner.tuning.forecastsLoads = true;
         this->planner.tuning.usesOrderPrecondition = false;
         this->planner.since = this->now;
         this->planner.storeLoadTokensAt = this->now;
--- a/src/tests/malformed_request_test.cpp
+++ b/src/tests/malformed_request_test.cpp
@@ -222,6 +222,25 @@
     }
 }
 
+// Guards against a trailer that is refused because its line arrives in two pieces.
+Test(malformed_request, trailer_is_taken_wherever_its_bytes_are_cut, .timeout = 60)
+{
+    Front front(platformEdge());
+    const std::string trailer = "X-A: b\r\n\r\n";
+    const std::string bytes
+        = beginHead("trailer") + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + trailer;
+    for (std::size_t cut = bytes.size() - trailer.size(); cut <= bytes.size(); ++cut) {
+        RawConnection connection(front.port());
+        connection.send(bytes.substr(0, cut));
+        absl::SleepFor(absl::Milliseconds(2));
+        connection.send(bytes.substr(cut) + goodRequest("behind"));
+        connection.read(2);
+        cr_expect_eq(connection.statuses(), (std::vector<int>{200, 200}), "%zu: %s", cut,
+                     connection.received.c_str());
+        cr_expect_eq(front.target.take().size(), 2);
+    }
+}
+
 namespace {
 
 /** Well-formed request, and the lines that the target gets besides those of every request. */
