--- a/src/tests/trace_test.cpp
+++ b/src/tests/trace_test.cpp
@@ -25,7 +25,9 @@
                          decision.c_str(), line.c_str());
             std::getline(expected, line);
         }
-        cr_assert_eq(line, outcome.value().effectsDigest.value);
+        cr_assert_eq(line, outcome.value().effectsDigest.value,
+                     "%s: the digest of all effects is %s", entry.path().c_str(),
+                     outcome.value().effectsDigest.value.c_str());
         ++replayed;
     }
     cr_assert_gt(replayed, 0);
