--- a/src/net/control_transfer.cpp
+++ b/src/net/control_transfer.cpp
@@ -65,7 +65,7 @@
 
 } // namespace
 
-void logDutyCall(const char *event, const DutyCall &call, nlohmann::json fields)
+void logDutyCall(const char *event, const DutyCall &call, const nlohmann::json &fields)
 {
     nlohmann::json line = std::visit(SubjectOf(), call.body);
     line["duty"] = call.duty.kind;
--- a/src/net/control_transfer_base.h
+++ b/src/net/control_transfer_base.h
@@ -76,7 +76,7 @@
 };
 
 /** Logs @p event about a call to the infrastructure. */
-void logDutyCall(const char *event, const DutyCall &call, nlohmann::json fields = {});
+void logDutyCall(const char *event, const DutyCall &call, const nlohmann::json &fields = {});
 
 /** Logs @p event about an order, with the order's age at @p now. */
 void logOrder(const char *event, const SendOrder &order, TimePoint now);
