--- a/src/config/settings_type.h
+++ b/src/config/settings_type.h
@@ -49,7 +49,7 @@
     /** Whether seeds with an empty data folder create a new control group. */
     bool foundsFromSeeds = false;
     bool prefetch = false; ///< Whether spare load capacity loads models before they are requested.
-    /** Whether the leader forecasts loads, and hosts refuse callers who cannot be served in time. */
+    /** Whether the leader forecasts loads; hosts then refuse whoever cannot be served in time. */
     bool loadForecasts = false;
     /** Intended number of voting members, reached by automatic replacement; 0: set by operators. */
     int voters = 0;
