--- a/src/queue/ranked_queue.cpp
+++ b/src/queue/ranked_queue.cpp
@@ -153,9 +153,8 @@
 QueueEntry takeCandidate(RankedQueue &queue, const RankCandidates &chosen)
 {
     const Candidate &candidate = chosen.list[chosen.next];
-    const QueueEntry entry{
-        candidate.request->request,   *candidate.account, *candidate.group,
-        candidate.request->workClass, chosen.rank,        candidate.request->limits};
+    QueueEntry entry{candidate.request->request,   *candidate.account, *candidate.group,
+                     candidate.request->workClass, chosen.rank,        candidate.request->limits};
     RankClass &rankClass = *chosen.rankClass;
     rankClass.virtualTime = std::max(rankClass.virtualTime, candidate.virtualTime);
     accountPick(queue, chosen.rank);
