--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -100,6 +100,51 @@
 /** Decides loads for @p needs in their order, and evictions where memory is short. */
 void placeNeeds(Pass &pass, const std::vector<Need> &needs);
 
+/**
+ * @return Whether a new order may be decided for the target: it serves, has fewer pending orders
+ * than its limit (one without fencing), is not in back-off and, without fencing, ordersAllowedFrom
+ * has passed.
+ */
+bool canTakeOrder(const Pass &pass, const TargetFacts &target);
+
+/** @return Whether the model may be loaded on the target, if it fits: the target does not limit its
+ * request rate, and no memory is reserved for another model. */
+bool mayTakeModel(const Pass &pass, const TargetFacts &target, const Variant &model);
+
+/** @return Whether the need may be met at the target's software version. */
+bool fitsVersion(const TargetFacts &target, const Need &need);
+
+/** @return Whether a replica of the variant is on the target or decided for it, in any state. */
+bool hasVariant(const Pass &pass, const TargetFacts &target, const Variant &variant);
+
+/** Decides to load @p need on a target, and charges the load to limits and accounts. */
+void beginLoad(Pass &pass, const Need &need, std::size_t targetIndex);
+
+/** @return Whether another load from the weight store may begin under both store limits. */
+bool storeHasCapacity(const Pass &pass);
+
+/**
+ * @return The target to load @p need on now, if one has enough free memory. Prefers the fastest
+ * cache tier, then the zone with the fewest replicas of the variant, then the most free memory.
+ */
+std::optional<std::size_t> chooseTarget(const Pass &pass, const Need &need,
+                                        const std::vector<std::size_t> &candidates);
+
+/**
+ * @return Idle replicas of the target that may be evicted, the one with the longest expected idle
+ * time first. The result is cached in the target until its replicas change.
+ */
+const std::vector<std::size_t> &evictionCandidates(const Pass &pass, TargetFacts &target);
+
+/**
+ * Decides to unload idle replicas on one target so that @p need fits there. Prefers, for a model,
+ * targets without active adapters, then the fastest cache tier, then the fewest evictions.
+ * @param onlyCached Only targets that have the checkpoint cached are considered.
+ * @return Whether a pending or newly decided unload frees the memory.
+ */
+bool evictFor(Pass &pass, const Need &need, const std::vector<std::size_t> &candidates,
+              bool onlyCached);
+
 /** Notes which loads from the weight store are under way, to learn its pace. */
 void trackStoreLoads(Pass &pass);
 
