Add: [Placement] [Control] [Operations] Why needs for a replica are not met, in the log and in metrics

Nothing told why a model or an adapter that is asked for was not loaded for seconds: no search left in the pass, no room, no store place, no base replica. A pass notes the reason of each need for a first replica that it does not meet. The leader logs the oldest four and the counts by reason at most once a second; /metrics has the counts. No decision changes.

--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -284,6 +284,7 @@
     std::set<std::string>
         publishedLoads; ///< Loads in progress that the registry announces, by replicaId().
     std::vector<VariantAssumption> assumptions;
+    TimePoint unmetLoggedAt; ///< Time of the last log line on unmet needs.
     TimePoint forecastLoggedAt; ///< Time of the last log line on load forecasts.
     std::uint64_t loggedForecast = 0; ///< Version of the forecasts in that line.
     int loggedParallelism = 0; ///< Parallelism of the store in the last log line on its pace.
--- a/src/control/control_func.h
+++ b/src/control/control_func.h
@@ -26,6 +26,10 @@
  * without duties. */
 std::string formatDutyMetrics(const Control &control, TimePoint now);
 
+/** @return Number of first replicas that the latest placement pass has not ordered, by reason, as
+ * lines for /metrics; empty on a member that does not lead. */
+std::string formatPlacementMetrics(const Control &control);
+
 /**
  * @return Lowest table version in force on any host with a valid lease, or the cluster's version if
  *         there is no such host; 0 on a member that does not lead and while leases of an earlier
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -84,6 +84,9 @@
 /** Proposes to remove the limits of accounts and targets that are gone. */
 void removeObsoleteLending(Control &control, ControlEffects &effects, TimePoint now);
 
+/** Logs the oldest unmet needs and the number of them by reason, at most once a second. */
+void logUnmetNeeds(Leadership &leadership, ControlEffects &effects, TimePoint now);
+
 /** Adds the forecasts of loads that the host lacks. */
 void grantForecasts(const Leadership &leadership, const HostReport &report, HostGrant &grant,
                     TimePoint now);
--- a/src/control/placement_cmd.cpp
+++ b/src/control/placement_cmd.cpp
@@ -221,6 +221,7 @@
     leadership.placementDue = now + PLACEMENT_INTERVAL;
     PlacementDecision decision = decidePlacement(leadership.planner, input, now);
     logForecasts(leadership, effects, now);
+    logUnmetNeeds(leadership, effects, now);
     if (decision.empty())
         return;
     proposePlacement(control, UpdateReplicas{std::move(decision.put), std::move(decision.gone)},
--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -180,18 +180,19 @@
 
 std::string ControlRunner::metrics()
 {
-    const DutySettings &duties = this->control.duties; // Constant after construction.
-    if (!duties.reportsUsage && !duties.ordersTargets)
-        return "";
     auto result = std::make_shared<std::string>();
     auto done = std::make_shared<absl::Notification>();
     const bool posted = this->tasks.tryPush(Task(StateQuery([result, done](const Control &control) {
-        *result = formatDutyMetrics(control, MonotonicClock::now());
+        *result = formatPlacementMetrics(control);
+        if (control.duties.reportsUsage || control.duties.ordersTargets)
+            *result += formatDutyMetrics(control, MonotonicClock::now());
         done->Notify();
     })));
     if (!posted || !done->WaitForNotificationWithTimeout(absl::Seconds(5)))
         return "";
-    return *result + this->formatCallCounters();
+    const DutySettings &duties = this->control.duties; // Constant after construction.
+    const bool makesCalls = duties.reportsUsage || duties.ordersTargets;
+    return makesCalls ? *result + this->formatCallCounters() : *result;
 }
 
 void ControlRunner::runDecisions()
--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -64,6 +64,31 @@
     return count;
 }
 
+/** @return Why candidatesFor() has found none for the need. */
+UnmetReason whyNoCandidate(const Pass &pass, const Need &need)
+{
+    if (!need.isModel())
+        return pass.readyTargets.contains(need.variant.model) ? UnmetReason::AdapterLoadsBusy
+                                                              : UnmetReason::NoBaseReplica;
+    return storeHasCapacity(pass) ? UnmetReason::NoRoom : UnmetReason::StoreBusy;
+}
+
+/** Notes that the pass does not meet the need, if it is one for a first replica. */
+void noteUnmet(Pass &pass, const Need &need, UnmetReason reason)
+{
+    const auto since = pass.planner.unmetSince.find(need.variant);
+    if (!need.isFirstReplica || since == pass.planner.unmetSince.end())
+        return;
+    UnmetNeeds &unmet = pass.planner.unmet;
+    ++unmet.counts[reason];
+    const auto place = std::upper_bound(
+        unmet.oldest.begin(), unmet.oldest.end(), since->second,
+        [](TimePoint value, const UnmetNeed &other) { return value < other.since; });
+    unmet.oldest.insert(place, {need.variant, since->second, reason});
+    if (unmet.oldest.size() > MAX_OLDEST_UNMET)
+        unmet.oldest.pop_back();
+}
+
 } // namespace
 
 bool canTakeOrder(const Pass &pass, const TargetFacts &target)
@@ -195,6 +220,7 @@
 
 void placeNeeds(Pass &pass, const std::vector<Need> &needs)
 {
+    pass.planner.unmet = {};
     std::vector<std::size_t> all;
     for (std::size_t i = 0; i < pass.targets.size(); ++i) {
         if (canTakeOrder(pass, pass.targets[i]))
@@ -203,8 +229,10 @@
     std::size_t searches = 0;
     for (const Need &need : needs) {
         const std::vector<std::size_t> &candidates = candidatesFor(pass, need, all);
-        if (candidates.empty())
+        if (candidates.empty()) {
+            noteUnmet(pass, need, whyNoCandidate(pass, need));
             continue;
+        }
         const std::optional<std::size_t> target = chooseTarget(pass, need, candidates);
         const bool uncached = target
             && tierOf(pass.targets[*target].announcement(), need.variant.model)
@@ -212,13 +240,19 @@
         // Evicting where the checkpoint is cached is faster than a load from the weight store.
         const bool mayEvict = need.isFirstReplica || pass.planner.tuning.prioritizesByDemand;
         const bool needsEviction = mayEvict && (!target || (uncached && need.isModel()));
-        if (needsEviction && searches < EVICTION_SEARCHES_PER_PASS) {
+        const bool searched = needsEviction && searches < EVICTION_SEARCHES_PER_PASS;
+        if (searched) {
             ++searches;
-            if (evictFor(pass, need, candidates, target.has_value()))
+            if (evictFor(pass, need, candidates, target.has_value())) {
+                noteUnmet(pass, need, UnmetReason::AwaitsUnload);
                 continue;
+            }
         }
         if (target)
             beginLoad(pass, need, *target);
+        else
+            noteUnmet(pass, need,
+                      needsEviction && !searched ? UnmetReason::NotSearched : UnmetReason::NoRoom);
     }
 }
 
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -4,6 +4,7 @@
 #include "link/link_type.h"
 #include "placement/load_forecast_type.h"
 #include "placement/store_pace_base.h"
+#include "placement/unmet_need_type.h"
 #include "target/registry_base.h"
 
 #include <map>
@@ -121,6 +122,7 @@
     std::map<TargetId, AcceptedOrders> acceptedOrders; ///< For orders with a precondition.
     std::set<std::string> reissues; ///< Ids of replicas whose order needs a new fencing token.
     std::map<Variant, TimePoint> unmetSince; ///< Time since when a variant has too few replicas.
+    UnmetNeeds unmet; ///< Of the latest pass.
     std::map<TargetId, MemoryReservation> memoryReservations; ///< Memory freed for one variant.
     std::set<std::string> loadsFromCache; ///< Replicas loading from a cache of their target, by id.
     double storeLoadTokens = 0; ///< Token bucket: loads from the weight store that may begin now.
