Fix: [Placement] [Tests] Needs that cannot be met no longer use up the searches for evictions

Cause: a pass searched for evictions for the first 8 needs by urgency. A need that cannot be met stays unmet, so its urgency grows, so it stays among the first; the needs behind it were never searched for. That is head-of-line blocking by a work limit that is spent in a fixed order.

Now a need whose search was in vain is not searched for again until all others have had their turn, and the limit counts the targets looked at (1,024 a pass, as many as 8 searches over all targets of the largest site were) and not the searches: most needs have few candidates.

--- a/src/placement/candidate.cpp
+++ b/src/placement/candidate.cpp
@@ -11,11 +11,9 @@
 
 namespace {
 
-/**
- * Limits the duration of a pass. After this many searches, a need gets a target with enough free
- * memory or waits for the next pass.
- */
-constexpr std::size_t EVICTION_SEARCHES_PER_PASS = 8;
+/** Limits the duration of a pass: searches for evictions look at about this many targets. A need
+ * that is not searched for gets a target with enough free memory or waits for the next pass. */
+constexpr std::size_t EVICTION_TARGETS_PER_PASS = 1'024;
 constexpr int MAX_CONCURRENT_FENCED_ORDERS = 4; ///< At one target that checks fencing tokens.
 
 /** @return Whether memory on the target is reserved for a variant other than @p variant. */
@@ -89,6 +87,70 @@
         unmet.oldest.pop_back();
 }
 
+enum class EvictionSearch {
+    Found, ///< An unload that is pending or has been decided makes room.
+    InVain,
+    NotSearched, ///< The pass has looked at as many targets as it may.
+};
+
+/** Work of one pass in search of evictions. */
+struct EvictionWork
+{
+    std::size_t targets = 0; ///< Looked at.
+    bool isExhausted = false; ///< A need was not searched for.
+};
+
+/**
+ * Searches for evictions for the need, unless that was in vain since all needs last had their turn:
+ * needs that cannot be met must not use up the work of each pass.
+ * @param onlyCached See evictFor().
+ */
+EvictionSearch searchInTurn(Pass &pass, const Need &need,
+                            const std::vector<std::size_t> &candidates, bool onlyCached,
+                            EvictionWork &work)
+{
+    std::set<Variant> &searchedInVain = pass.planner.searchedInVain;
+    if (searchedInVain.contains(need.variant))
+        return EvictionSearch::InVain;
+    if (work.targets >= EVICTION_TARGETS_PER_PASS) {
+        work.isExhausted = true;
+        return EvictionSearch::NotSearched;
+    }
+    work.targets += candidates.size();
+    if (evictFor(pass, need, candidates, onlyCached))
+        return EvictionSearch::Found;
+    searchedInVain.insert(need.variant);
+    return EvictionSearch::InVain;
+}
+
+/** Orders a load or decides evictions for one need; else notes why not. */
+void placeNeed(Pass &pass, const Need &need, const std::vector<std::size_t> &all,
+               EvictionWork &work)
+{
+    const std::vector<std::size_t> &candidates = candidatesFor(pass, need, all);
+    if (candidates.empty()) {
+        noteUnmet(pass, need, whyNoCandidate(pass, need));
+        return;
+    }
+    const std::optional<std::size_t> target = chooseTarget(pass, need, candidates);
+    const bool uncached = target
+        && tierOf(pass.targets[*target].announcement(), need.variant.model) == CacheTier::Remote;
+    // Evicting where the checkpoint is cached is faster than a load from the weight store.
+    const bool mayEvict = need.isFirstReplica || pass.planner.tuning.prioritizesByDemand;
+    const bool needsEviction = mayEvict && (!target || (uncached && need.isModel()));
+    const EvictionSearch search = needsEviction
+        ? searchInTurn(pass, need, candidates, target.has_value(), work)
+        : EvictionSearch::InVain;
+    if (search == EvictionSearch::Found)
+        noteUnmet(pass, need, UnmetReason::AwaitsUnload);
+    else if (target)
+        beginLoad(pass, need, *target);
+    else
+        noteUnmet(pass, need,
+                  search == EvictionSearch::NotSearched ? UnmetReason::NotSearched
+                                                        : UnmetReason::NoRoom);
+}
+
 } // namespace
 
 bool canTakeOrder(const Pass &pass, const TargetFacts &target)
@@ -226,34 +288,11 @@
         if (canTakeOrder(pass, pass.targets[i]))
             all.push_back(i);
     }
-    std::size_t searches = 0;
-    for (const Need &need : needs) {
-        const std::vector<std::size_t> &candidates = candidatesFor(pass, need, all);
-        if (candidates.empty()) {
-            noteUnmet(pass, need, whyNoCandidate(pass, need));
-            continue;
-        }
-        const std::optional<std::size_t> target = chooseTarget(pass, need, candidates);
-        const bool uncached = target
-            && tierOf(pass.targets[*target].announcement(), need.variant.model)
-                == CacheTier::Remote;
-        // Evicting where the checkpoint is cached is faster than a load from the weight store.
-        const bool mayEvict = need.isFirstReplica || pass.planner.tuning.prioritizesByDemand;
-        const bool needsEviction = mayEvict && (!target || (uncached && need.isModel()));
-        const bool searched = needsEviction && searches < EVICTION_SEARCHES_PER_PASS;
-        if (searched) {
-            ++searches;
-            if (evictFor(pass, need, candidates, target.has_value())) {
-                noteUnmet(pass, need, UnmetReason::AwaitsUnload);
-                continue;
-            }
-        }
-        if (target)
-            beginLoad(pass, need, *target);
-        else
-            noteUnmet(pass, need,
-                      needsEviction && !searched ? UnmetReason::NotSearched : UnmetReason::NoRoom);
-    }
+    EvictionWork work;
+    for (const Need &need : needs)
+        placeNeed(pass, need, all, work);
+    if (!work.isExhausted)
+        pass.planner.searchedInVain.clear();
 }
 
 } // namespace bilberry
--- a/src/placement/planner_base.h
+++ b/src/placement/planner_base.h
@@ -123,6 +123,8 @@
     std::set<std::string> reissues; ///< Ids of replicas whose order needs a new fencing token.
     std::map<Variant, TimePoint> unmetSince; ///< Time since when a variant has too few replicas.
     UnmetNeeds unmet; ///< Of the latest pass.
+    /** Needs for which evictions were searched in vain since all needs last had their turn. */
+    std::set<Variant> searchedInVain;
     std::map<TargetId, MemoryReservation> memoryReservations; ///< Memory freed for one variant.
     std::set<std::string> loadsFromCache; ///< Replicas loading from a cache of their target, by id.
     double storeLoadTokens = 0; ///< Token bucket: loads from the weight store that may begin now.
