Fix: [Net] [Tests] [Design] [Operations] Unread bytes of a crowd stay within the memory of the machine

A crowd that sends more than a host reads (bodies pipelined behind a request that waits, one-byte chunks, small requests pipelined) filled the receive buffers of its connections. The platform counts these bytes as memory of the process and ends it.

Cause: each connection had a receive buffer of 64 KiB, which the kernel doubles, and the bound on connections did not count it: 1,280 connections x 128 KiB are 160 MiB on a host with 160 MB. Connections of the other ports had the kernel's default.

Now all receive buffers of callers' connections have a bound, an eighth of the memory and 8 KiB for each connection. A new connection gets a part of what is left, so a few clients get as much as before (128 KiB).

Tests: unread_bytes.py, 360 clients against a host with memoryMb 48; crowd and bound were fixed before the change.

--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -38,6 +38,7 @@
 {
     int socket = -1;
     TimePoint lastProgress;
+    std::size_t receiveBuffer = 0; ///< Counted in Impl::grantedReceiveBytes.
     bool waits = false; ///< Its request has been received and is answered.
     bool yielded = false; ///< Shut down; libmicrohttpd is about to close it.
 };
@@ -395,8 +396,10 @@
     {
         auto &server = *static_cast<Impl *>(self);
         if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-            unfollowSocket(server.openConnections[connection].socket);
-            server.yieldedConnections -= server.openConnections[connection].yielded ? 1 : 0;
+            const OpenConnection &closed = server.openConnections[connection];
+            unfollowSocket(closed.socket);
+            server.yieldedConnections -= closed.yielded ? 1 : 0;
+            server.grantedReceiveBytes -= closed.receiveBuffer;
             server.openConnections.erase(connection);
             return;
         }
@@ -405,9 +408,26 @@
         followSocket(added.socket);
         added.lastProgress = MonotonicClock::now();
         *state = &added;
+        server.grantReceiveBuffer(added);
         server.boundConnections(added);
     }
 
+    /** Bounds the receive buffer of a new connection, and of those that are still to be accepted:
+     * their bytes arrive before this server sees them. */
+    void grantReceiveBuffer(OpenConnection &added)
+    {
+        const RequestLimits &limits = this->memory->limits;
+        added.receiveBuffer = receiveBufferFor(limits, this->grantedReceiveBytes);
+        this->grantedReceiveBytes += added.receiveBuffer;
+        if (added.receiveBuffer != this->inheritedReceiveBuffer)
+            setReceiveBuffer(added.socket, added.receiveBuffer);
+        const std::size_t next = receiveBufferFor(limits, this->grantedReceiveBytes);
+        if (next == this->inheritedReceiveBuffer || this->quiesced.load())
+            return;
+        setReceiveBuffer(this->socket, next);
+        this->inheritedReceiveBuffer = next;
+    }
+
     /** Shuts down the connection that has made no progress for longest and waits for no answer, if
      * there are too many; else the one that was added. */
     void boundConnections(OpenConnection &added)
@@ -443,6 +463,9 @@
     std::shared_ptr<RequestMemory> memory;
     std::map<MHD_Connection *, OpenConnection> openConnections;
     std::size_t yieldedConnections = 0; ///< Of @c openConnections.
+    std::size_t grantedReceiveBytes = 0; ///< Receive buffers of @c openConnections.
+    /** Receive buffer of the connections that the listening socket accepts. */
+    std::size_t inheritedReceiveBuffer = 0;
 
     const Edge &edge;
     std::size_t maxBodyBytes = 0;
@@ -450,7 +473,7 @@
     OnEvent onEvent;
     MHD_Daemon *daemon = nullptr;
     int socket = -1;
-    bool quiesced = false; ///< The server has stopped accepting connections.
+    std::atomic<bool> quiesced{false}; ///< The server has stopped accepting connections.
     int port = 0;
     std::atomic<std::uint64_t> lastRequest{0};
     std::atomic<bool> closeAfterAnswer{false};
@@ -493,10 +516,8 @@
     if (this->impl->daemon != nullptr)
         return boost::outcome_v2::success();
     const RequestLimits &limits = this->impl->memory->limits;
-    const int receiveBuffer = static_cast<int>(limits.receiveBufferBytes);
-    if (receiveBuffer > 0)
-        ::setsockopt(this->impl->socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer,
-                     sizeof(receiveBuffer));
+    this->impl->inheritedReceiveBuffer = receiveBufferFor(limits, 0);
+    setReceiveBuffer(this->impl->socket, this->impl->inheritedReceiveBuffer);
     BOOST_OUTCOME_TRYV(startListening(this->impl->socket));
     this->impl->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr, nullptr,
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <absl/strings/ascii.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace bilberry {
 
@@ -238,7 +239,13 @@
         memory
             = std::make_shared<RequestMemory>(requestLimits(Settings(), systemDescriptorLimit()));
     auto impl = std::make_unique<Impl>(std::move(handler), std::move(memory));
-    BOOST_OUTCOME_TRY(socket, listenOn(endpoint));
+    BOOST_OUTCOME_TRY(socket, bindTo(endpoint));
+    setReceiveBuffer(socket, impl->memory->limits.portReceiveBufferBytes);
+    const Result<void> listening = startListening(socket);
+    if (!listening) {
+        ::close(socket);
+        return listening.error();
+    }
     impl->port = boundPort(socket);
     impl->daemon = MHD_start_daemon(
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, 0, nullptr,
--- a/src/net/request_memory.cpp
+++ b/src/net/request_memory.cpp
@@ -7,6 +7,8 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <bit>
+#include <cerrno>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <utility>
@@ -26,7 +28,11 @@
 constexpr std::size_t CONNECTION_SHARE = 4;
 /** libmicrohttpd's memory for one connection, see caller_server.cpp. */
 constexpr std::size_t CONNECTION_BYTES = 32 << 10;
-constexpr std::size_t RECEIVE_BUFFER_BYTES = 64 << 10;
+constexpr std::size_t RECEIVE_SHARE = 8;
+constexpr std::size_t PORT_RECEIVE_SHARE = 32; ///< Of each HTTP port but the callers'.
+constexpr std::size_t MAX_RECEIVE_BUFFER_BYTES = 128 << 10;
+/** A connection gets this part of what is left, so that the last ones still get some. */
+constexpr std::size_t RECEIVE_PART = 64;
 constexpr std::size_t MAX_CALLER_CONNECTIONS = 20'000;
 constexpr std::size_t MIN_CALLER_CONNECTIONS = 16;
 constexpr std::size_t MAX_PORT_CONNECTIONS = 256;
@@ -72,7 +78,7 @@
         // One body of the largest size always has room.
         limits.largeBytes = std::max(memory / LARGE_SHARE, settings.maxBodyBytes);
         limits.smallBytes = std::max(memory / SMALL_SHARE, SMALL_BODY_BYTES);
-        limits.receiveBufferBytes = RECEIVE_BUFFER_BYTES;
+        limits.receiveBytes = memory / RECEIVE_SHARE;
         connections = std::min(connections, memory / CONNECTION_SHARE / CONNECTION_BYTES);
     }
     const std::size_t descriptors = settings.maxDescriptors > 0
@@ -84,11 +90,34 @@
                                           std::max(connections, MIN_CALLER_CONNECTIONS));
     limits.portConnections
         = std::clamp(descriptors / 16, MIN_PORT_CONNECTIONS, MAX_PORT_CONNECTIONS);
+    if (settings.memoryMb > 0)
+        limits.portReceiveBufferBytes
+            = std::clamp(settings.memoryMb * MIB / PORT_RECEIVE_SHARE / limits.portConnections,
+                         MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
     limits.pooledConnections
         = std::clamp(descriptors / 5, MIN_POOLED_CONNECTIONS, MAX_POOLED_CONNECTIONS);
     return limits;
 }
 
+std::size_t receiveBufferFor(const RequestLimits &limits, std::size_t granted)
+{
+    if (limits.receiveBytes == 0)
+        return 0;
+    const std::size_t left = limits.receiveBytes - std::min(granted, limits.receiveBytes);
+    // Powers of two, so that the listening socket rarely needs another value.
+    return std::clamp(std::bit_floor(left / RECEIVE_PART), MIN_RECEIVE_BUFFER_BYTES,
+                      MAX_RECEIVE_BUFFER_BYTES);
+}
+
+void setReceiveBuffer(int socket, std::size_t bytes)
+{
+    if (bytes == 0)
+        return;
+    const int half = static_cast<int>(bytes / 2); // Linux doubles the value.
+    if (::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &half, sizeof(half)) != 0)
+        logEventRateLimited("receiveBufferNotSet", {{"bytes", bytes}, {"errno", errno}});
+}
+
 std::size_t systemDescriptorLimit()
 {
     rlimit limit{};
--- a/src/net/request_memory_base.h
+++ b/src/net/request_memory_base.h
@@ -29,6 +29,9 @@
 /** Retry-After of a request whose body finds no room; a body that stands still yields before. */
 constexpr Duration ROOM_RETRY_AFTER = 1s;
 
+/** Smallest receive buffer, as the kernel counts it; holds several segments of a usual link. */
+constexpr std::size_t MIN_RECEIVE_BUFFER_BYTES = 8 << 10;
+
 /** Bounds of what clients can make a process hold. */
 struct RequestLimits
 {
@@ -37,9 +40,11 @@
     std::size_t callerConnections = 0; ///< Open connections of callers.
     std::size_t portConnections = 0; ///< Open connections of each other HTTP port.
     std::size_t pooledConnections = 0; ///< Connections to targets that are kept for reuse.
-    /** Receive buffer of a caller's connection, whose unread bytes count as the process's memory;
-     * 0: as large as the kernel makes it. */
-    std::size_t receiveBufferBytes = 0;
+    /** Receive buffers of all callers' connections together, beyond MIN_RECEIVE_BUFFER_BYTES for
+     * each. Unread bytes in them count as the process's memory. 0: no bound. */
+    std::size_t receiveBytes = 0;
+    /** Receive buffer of a connection to another HTTP port; 0: as large as the kernel makes it. */
+    std::size_t portReceiveBufferBytes = 0;
 };
 
 /**
@@ -48,6 +53,17 @@
  */
 RequestLimits requestLimits(const Settings &settings, std::size_t descriptorLimit);
 
+/**
+ * @param granted Receive buffers of the open connections of callers, together.
+ * @return Receive buffer of the next connection: the fewer bytes are left of the bound, the
+ * smaller; 0: as large as the kernel makes it.
+ */
+std::size_t receiveBufferFor(const RequestLimits &limits, std::size_t granted);
+
+/** Sets the receive buffer of a socket, and of the connections that it accepts from now on.
+ * @param bytes As the kernel counts; 0: unchanged. */
+void setReceiveBuffer(int socket, std::size_t bytes);
+
 /** @return Descriptors that the system allows this process. */
 std::size_t systemDescriptorLimit();
 
--- a/src/tests/request_memory_test.cpp
+++ b/src/tests/request_memory_test.cpp
@@ -171,7 +171,23 @@
     const RequestLimits usual = requestLimits(settings, 1'048'576);
     cr_expect_eq(usual.callerConnections, 20'000);
     cr_expect_geq(usual.largeBytes, 20 * settings.maxBodyBytes);
-    cr_expect_eq(usual.receiveBufferBytes, 0);
+    cr_expect_eq(receiveBufferFor(usual, 0), 0);
+}
+
+// Guards against connections whose unread bytes fill the machine's memory beside the process.
+Test(request_memory, receive_buffers_of_all_connections_stay_within_a_share_of_the_memory)
+{
+    for (const std::size_t memoryMb : {48, 160, 260, 400}) {
+        Settings settings;
+        settings.memoryMb = memoryMb;
+        const RequestLimits limits = requestLimits(settings, 4'100);
+        std::size_t granted = 0;
+        for (std::size_t i = 0; i < limits.callerConnections; ++i)
+            granted += receiveBufferFor(limits, granted);
+        cr_expect_leq(granted, memoryMb * MIB / 4);
+        cr_expect_leq(limits.portConnections * limits.portReceiveBufferBytes, memoryMb * MIB / 16);
+        cr_expect_geq(receiveBufferFor(limits, 0), 64 << 10, "a few clients get large buffers");
+    }
 }
 
 namespace {
--- a/src/tests/system/run.py
+++ b/src/tests/system/run.py
@@ -10,6 +10,7 @@
 
 import scenarios
 import uncontrolled_clients
+import unread_bytes
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 from unit import ROOT, read_known_failures  # pylint: disable=wrong-import-position
@@ -44,9 +45,10 @@
     parser.add_argument("--suite", default="all", help="ci, all, or names separated by commas")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    all_scenarios = scenarios_of(scenarios) + scenarios_of(uncontrolled_clients)
+    all_scenarios = [scenario for module in (scenarios, uncontrolled_clients, unread_bytes)
+                     for scenario in scenarios_of(module)]
     if options.suite == "ci":
-        in_ci = scenarios.CI | uncontrolled_clients.CI
+        in_ci = scenarios.CI | uncontrolled_clients.CI | unread_bytes.CI
         selected = [item for item in all_scenarios if item[0] in in_ci]
     elif options.suite == "all":
         selected = all_scenarios
