Add: [Net] Count how answers to callers end

Each answer that has begun is now counted by its end (bilberrybend_caller_answers_total{end}); one that was ready and that the HTTP library has not sent, or that its caller did not read, gets a line answerNotDelivered with the request, the caller's id, the sizes of both heads and what is left of the connection's memory. The head of an answer counts as held bytes, as its body does. The size of the library's memory for a connection stood twice; it stands in library_room_func.h now.

No decision changes.

--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -238,7 +238,8 @@
 {
     return this->queryState<std::string>(
                [](const Host &state) { return formatMetrics(state, MonotonicClock::now()); })
-        + formatGrammarFaults() + this->bodies->formatMetrics();
+        + formatGrammarFaults() + this->bodies->formatMetrics()
+        + (this->callers ? this->callers->formatMetrics() : "");
 }
 
 OperatorAnswer HostRunner::callLeader(LeaderCall call)
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -2,9 +2,12 @@
 #include "net/caller_server_base.h"
 
 #include "core/log_func.h"
+#include "net/answer_counts_base.h"
+#include "net/connection_state_func.h"
 #include "net/edge_type.h"
 #include "net/grammar_func.h"
 #include "net/grammar_log_func.h"
+#include "net/library_room_func.h"
 #include "net/listen_func.h"
 #include "net/request_head_func.h"
 #include "net/request_stream_base.h"
@@ -25,8 +28,6 @@
  * without progress for longest can yield to them. */
 constexpr std::size_t SPARE_CONNECTIONS = 32;
 constexpr unsigned IDLE_TIMEOUT_SECONDS = 20;
-/** libmicrohttpd's memory for one connection; also bounds the size of a request's headers. */
-constexpr std::size_t CONNECTION_MEMORY_BYTES = 32 << 10;
 constexpr Duration UPLOAD_TIMEOUT = 30s; ///< For the complete body; slower uploads are aborted.
 constexpr std::size_t STREAM_BLOCK_BYTES = 16 << 10;
 constexpr std::size_t MAX_LOGGED_ID_BYTES = 256;
@@ -76,6 +77,7 @@
         RawTarget target;
         FollowedRequest followed;
         int socket = -1; ///< File descriptor of the connection; -1: unknown.
+        LibraryUse use; ///< Set when the answer begins.
     };
 
     static void *onRequestStart(void *, const char *uri, MHD_Connection *connection)
@@ -259,6 +261,7 @@
         const RequestId id(++this->lastRequest);
         context.exchange = this->exchanges->add(id);
         context.exchange->heldBody = std::move(context.held);
+        context.exchange->callerSocket = context.socket;
         this->noteProgress(context, true);
         ParsedRequest parsed
             = this->edge.parseRequest(id, std::move(context.raw), WallClock::unixSeconds());
@@ -299,6 +302,7 @@
             this->suspend(exchange, connection);
             return MHD_YES;
         }
+        context.use = libraryUse(connection);
         MHD_Response *response = nullptr;
         if (exchange.streamed)
             response = MHD_create_response_from_callback(
@@ -349,7 +353,7 @@
             size = std::min(max, exchange.buffer.size());
             std::memcpy(out, exchange.buffer.data(), size);
             exchange.buffer.erase(0, size);
-            exchange.held.set(exchange.buffer.size());
+            exchange.countHeld();
             onBufferSpace = std::move(exchange.onBufferSpace);
             exchange.onBufferSpace = nullptr;
         }
@@ -360,11 +364,48 @@
 
     static void freeReader(void *state) { delete static_cast<StreamReader *>(state); }
 
-    static void onCompleted(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode)
+    /** @return How the answer has ended, as the library says and as the exchange knows. */
+    static AnswerEnd endOf(Exchange &exchange, MHD_RequestTerminationCode code)
+    {
+        if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+            return AnswerEnd::Delivered;
+        if (code == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN)
+            return AnswerEnd::Stopped;
+        if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED)
+            return AnswerEnd::CallerStalled;
+        if (code != MHD_REQUEST_TERMINATED_WITH_ERROR || !isPeerConnected(exchange.callerSocket))
+            return AnswerEnd::CallerLeft;
+        absl::MutexLock lock(&exchange.mutex);
+        return exchange.broken ? AnswerEnd::BrokenOff : AnswerEnd::LibraryFailed;
+    }
+
+    /** Counts the end of an answer, and logs one that was ready and has not reached the caller. */
+    void recordEnd(const Context &context, MHD_RequestTerminationCode code)
+    {
+        Exchange &exchange = *context.exchange;
+        const AnswerEnd end = endOf(exchange, code);
+        this->answers->count(end);
+        if (!isUndelivered(end))
+            return;
+        absl::MutexLock lock(&exchange.mutex);
+        logEventRateLimited("answerNotDelivered",
+                            {{"request", exchange.id},
+                             {"tag", exchange.forwarded.correlation},
+                             {"why", nameOf(end)},
+                             {"status", exchange.status},
+                             {"answerHeadBytes", exchange.headBytes},
+                             {"headBytes", context.use.headBytes},
+                             {"entries", context.use.entries},
+                             {"roomBytes", libraryRoom(context.use)}});
+    }
+
+    static void onCompleted(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode code)
     {
         auto *context = static_cast<Context *>(*state);
         if (context == nullptr)
             return;
+        if (context->exchange && context->exchange->hasBegun())
+            context->server->recordEnd(*context, code);
         if (context->exchange)
             context->server->releaseExchange(*context->exchange);
         if (context->server != nullptr)
@@ -461,6 +502,7 @@
     }
 
     std::shared_ptr<RequestMemory> memory;
+    const std::shared_ptr<AnswerCounts> answers = std::make_shared<AnswerCounts>();
     std::map<MHD_Connection *, OpenConnection> openConnections;
     std::size_t yieldedConnections = 0; ///< Of @c openConnections.
     std::size_t grantedReceiveBytes = 0; ///< Receive buffers of @c openConnections.
@@ -562,6 +604,11 @@
     }
 }
 
+std::string CallerServer::formatMetrics() const
+{
+    return this->impl->answers->formatMetrics();
+}
+
 int CallerServer::port() const
 {
     return this->impl->port;
--- a/src/net/caller_server_base.h
+++ b/src/net/caller_server_base.h
@@ -41,6 +41,9 @@
      * connection is not polled by libmicrohttpd. Must be called periodically. */
     void detectDisconnectedCallers();
 
+    /** @return Samples of how answers have ended, in the Prometheus text format. */
+    std::string formatMetrics() const;
+
     /** @return TCP port that the server is bound to. */
     int port() const;
 
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -7,6 +7,32 @@
 
 namespace bilberry {
 
+namespace {
+
+/** Of a colon, a blank and the end of a line. */
+constexpr std::size_t FIELD_SEPARATORS_BYTES = 4;
+
+std::size_t sizeOfFields(const HeaderList &fields)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : fields)
+        bytes += name.size() + value.size() + FIELD_SEPARATORS_BYTES;
+    return bytes;
+}
+
+} // namespace
+
+bool Exchange::hasBegun()
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->begun;
+}
+
+void Exchange::countHeld()
+{
+    this->held.set(this->headBytes + this->buffer.size());
+}
+
 void Exchange::resumeCallerLocked()
 {
     std::function<void()> callback = std::move(this->resumeCaller);
@@ -28,8 +54,9 @@
     this->status = status;
     this->contentType = std::move(contentType);
     this->headers = std::move(headers);
+    this->headBytes = sizeOfFields(this->headers) + this->contentType.size();
     this->buffer = std::move(body);
-    this->held.set(this->buffer.size());
+    this->countHeld();
     this->resumeCallerLocked();
     return true;
 }
@@ -42,7 +69,7 @@
     if (this->buffer.size() + bytes.size() > MAX_BUFFERED_BYTES && !this->buffer.empty())
         return false;
     this->buffer.append(bytes);
-    this->held.set(this->buffer.size());
+    this->countHeld();
     this->resumeCallerLocked();
     return true;
 }
@@ -54,7 +81,7 @@
         return;
     if (!this->closed) {
         this->buffer.append(rest);
-        this->held.set(this->buffer.size());
+        this->countHeld();
     }
     this->ended = true;
     this->broken = broken;
--- a/src/net/exchange_base.h
+++ b/src/net/exchange_base.h
@@ -68,7 +68,14 @@
     /** Marks the caller as disconnected; from then on begin() and append() do nothing. */
     void close();
 
+    /** @return Whether status and headers are set. */
+    bool hasBegun();
+
+    /** Counts the bytes that the answer holds; whoever changes the buffer calls it. */
+    void countHeld() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
     const RequestId id;
+    int callerSocket = -1; ///< Open until the caller's connection ends; -1: none.
     /** Room of the request's body, which is kept for further attempts until the request ends. */
     HeldBody heldBody;
     ForwardedRequest forwarded; ///< Set before other threads access the exchange.
@@ -86,8 +93,9 @@
     int status ABSL_GUARDED_BY(mutex) = 0; ///< HTTP status code.
     std::string contentType ABSL_GUARDED_BY(mutex);
     std::vector<std::pair<std::string, std::string>> headers ABSL_GUARDED_BY(mutex);
+    std::size_t headBytes ABSL_GUARDED_BY(mutex) = 0; ///< Of contentType and headers, as sent.
     std::string buffer ABSL_GUARDED_BY(mutex); ///< Bytes not yet read by the caller's connection.
-    /** Counts the buffer; whoever changes the buffer sets it. */
+    /** Counts head and buffer, see countHeld(). */
     HeldBytes held ABSL_GUARDED_BY(mutex);
 
 private:
--- a/src/net/request_memory.cpp
+++ b/src/net/request_memory.cpp
@@ -4,6 +4,7 @@
 
 #include "config/settings_type.h"
 #include "core/log_func.h"
+#include "net/library_room_func.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -26,8 +27,6 @@
 constexpr std::size_t LARGE_SHARE = 4;
 constexpr std::size_t SMALL_SHARE = 16;
 constexpr std::size_t CONNECTION_SHARE = 4;
-/** libmicrohttpd's memory for one connection, see caller_server.cpp. */
-constexpr std::size_t CONNECTION_BYTES = 32 << 10;
 constexpr std::size_t RECEIVE_SHARE = 8;
 constexpr std::size_t PORT_RECEIVE_SHARE = 32; ///< Of each HTTP port but the callers'.
 constexpr std::size_t MAX_RECEIVE_BUFFER_BYTES = 128 << 10;
@@ -79,7 +78,7 @@
         limits.largeBytes = std::max(memory / LARGE_SHARE, settings.maxBodyBytes);
         limits.smallBytes = std::max(memory / SMALL_SHARE, SMALL_BODY_BYTES);
         limits.receiveBytes = memory / RECEIVE_SHARE;
-        connections = std::min(connections, memory / CONNECTION_SHARE / CONNECTION_BYTES);
+        connections = std::min(connections, memory / CONNECTION_SHARE / CONNECTION_MEMORY_BYTES);
     }
     const std::size_t descriptors = settings.maxDescriptors > 0
         ? std::min(settings.maxDescriptors, descriptorLimit)
