Fix: [Net] Answers whose heads do not fit reach their callers

Cause: libmicrohttpd has 32 KiB for a connection: the request's head, 64 bytes for each field, argument and cookie, what is being received, and the head of the answer. It takes any answer and closes the connection if the head does not fit. The host took heads of up to 64 KB from targets and did not look at what the request had left.

An answer whose head might not fit, by a bound that errs on the safe side, is now written to the socket by AnswerDelivery, whole answers, streams and refusals alike, as the last one on its connection. So the room of an answer is the host's memory for answers, which counts its head, and no longer depends on the request.

--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log_func.h"
 #include "net/answer_counts_base.h"
+#include "net/answer_delivery_base.h"
 #include "net/connection_state_func.h"
 #include "net/edge_type.h"
 #include "net/grammar_func.h"
@@ -31,6 +32,8 @@
 constexpr Duration UPLOAD_TIMEOUT = 30s; ///< For the complete body; slower uploads are aborted.
 constexpr std::size_t STREAM_BLOCK_BYTES = 16 << 10;
 constexpr std::size_t MAX_LOGGED_ID_BYTES = 256;
+/** Status line and the fields that libmicrohttpd adds to the head of an answer. */
+constexpr std::size_t OWN_FIELDS_BYTES = 512;
 /** Time without bytes after which the connection of a refused body is closed. */
 constexpr unsigned REFUSED_TIMEOUT_SECONDS = 2;
 
@@ -78,6 +81,9 @@
         FollowedRequest followed;
         int socket = -1; ///< File descriptor of the connection; -1: unknown.
         LibraryUse use; ///< Set when the answer begins.
+        std::string version; ///< HTTP version of the request.
+        bool closes = false; ///< The connection ends with the answer.
+        bool direct = false; ///< AnswerDelivery writes the answer, or has done so.
     };
 
     static void *onRequestStart(void *, const char *uri, MHD_Connection *connection)
@@ -108,6 +114,8 @@
     {
         context.server = this;
         context.startedAt = MonotonicClock::now();
+        context.version = version;
+        context.socket = socketOf(connection);
         RequestHead head = readRequestHead(connection, method, std::move(context.target), version);
         context.raw = std::move(head.raw);
         if (!head.fault)
@@ -116,7 +124,6 @@
             head.fault = this->edge.checkHeaders(context.raw.headers);
         if (head.fault)
             return this->refuseMalformed(context, connection, *head.fault);
-        context.socket = socketOf(connection);
         const MHD_ConnectionInfo *state
             = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
         context.open
@@ -205,7 +212,7 @@
     /** Refuses a request whose head or trailer is malformed. The connection is closed, since no one
      * can tell where the next request on it would begin. */
     MHD_Result refuseMalformed(Context &context, MHD_Connection *connection,
-                               const GrammarFault &fault) const
+                               const GrammarFault &fault)
     {
         // Only the caller's id is used of what is parsed.
         const ParsedRequest parsed = this->edge.parseRequest(RequestId(), std::move(context.raw),
@@ -215,13 +222,13 @@
         recordGrammarFault("requestMalformed", fault, {{"tag", id}}, WallClock::unixSeconds());
         RefuseCaller refusal;
         refusal.code = RefusalCode::Malformed;
-        const EncodedAnswer answer = this->edge.encodeRefusal(refusal, id);
-        MHD_Response *response = MHD_create_response_from_buffer(
-            answer.body.size(), const_cast<char *>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
-        MHD_add_response_header(response, "Content-Type", answer.contentType.c_str());
-        for (const auto &[name, value] : answer.headers)
-            MHD_add_response_header(response, name.c_str(), value.c_str());
-        return queueClosing(connection, static_cast<unsigned>(answer.status), response);
+        context.closes = true;
+        context.exchange = std::make_shared<Exchange>(RequestId());
+        context.exchange->callerSocket = context.socket;
+        context.exchange->forwarded.method = parsed.forwarded.method;
+        context.exchange->forwarded.correlation = id;
+        answerRefusal(*context.exchange, refusal, this->edge);
+        return this->reply(context, connection);
     }
 
     MHD_Result readBody(Context &context, MHD_Connection *connection, const char *upload,
@@ -293,6 +300,8 @@
     MHD_Result reply(Context &context, MHD_Connection *connection)
     {
         Exchange &exchange = *context.exchange;
+        if (context.direct)
+            return MHD_NO; // The answer has been written, or its caller has left.
         {
             absl::MutexLock lock(&this->waitingMutex);
             this->waiting.erase(exchange.id);
@@ -303,6 +312,22 @@
             return MHD_YES;
         }
         context.use = libraryUse(connection);
+        if (exchange.headBytes + OWN_FIELDS_BYTES > libraryRoom(context.use)) {
+            this->deliver(context, connection);
+            return MHD_YES;
+        }
+        // Where a chunked body ends is known only if its lines were followed; else nothing behind
+        // it is read as a request.
+        const bool endKnown = !context.chunked || context.followed.isFollowed();
+        const bool closes = context.closes || this->closeAfterAnswer.load() || !endKnown;
+        return queueAnswer(context, connection, closes);
+    }
+
+    /** Passes an answer that has begun to the library, whose memory has room for its head. */
+    static MHD_Result queueAnswer(const Context &context, MHD_Connection *connection, bool closes)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(context.exchange->mutex)
+    {
+        Exchange &exchange = *context.exchange;
         MHD_Response *response = nullptr;
         if (exchange.streamed)
             response = MHD_create_response_from_callback(
@@ -315,10 +340,7 @@
             MHD_add_response_header(response, "Content-Type", exchange.contentType.c_str());
         for (const auto &[name, value] : exchange.headers)
             MHD_add_response_header(response, name.c_str(), value.c_str());
-        // Where a chunked body ends is known only if its lines were followed; else nothing behind
-        // it is read as a request.
-        const bool endKnown = !context.chunked || context.followed.isFollowed();
-        if (this->closeAfterAnswer.load() || !endKnown)
+        if (closes)
             MHD_add_response_header(response, "Connection", "close");
         const MHD_Result queued
             = MHD_queue_response(connection, static_cast<unsigned>(exchange.status), response);
@@ -326,6 +348,27 @@
         return queued;
     }
 
+    /** Writes an answer that has begun past the library, and suspends the connection until then. */
+    void deliver(Context &context, MHD_Connection *connection)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(context.exchange->mutex)
+    {
+        Exchange &exchange = *context.exchange;
+        logEventRateLimited("answerDeliveredDirectly",
+                            {{"request", exchange.id},
+                             {"tag", exchange.forwarded.correlation},
+                             {"status", exchange.status},
+                             {"answerHeadBytes", exchange.headBytes},
+                             {"headBytes", context.use.headBytes},
+                             {"entries", context.use.entries},
+                             {"roomBytes", libraryRoom(context.use)}});
+        context.direct = true;
+        MHD_suspend_connection(connection);
+        this->delivery.add({context.exchange, context.socket,
+                            framingOf(exchange.forwarded.method, context.version, exchange.status,
+                                      exchange.streamed),
+                            [connection]() { MHD_resume_connection(connection); }});
+    }
+
     /** State of readStream(), which suspends the connection while the buffer is empty. */
     struct StreamReader
     {
@@ -404,7 +447,8 @@
         auto *context = static_cast<Context *>(*state);
         if (context == nullptr)
             return;
-        if (context->exchange && context->exchange->hasBegun())
+        const bool answered = context->exchange && context->exchange->hasBegun();
+        if (answered && !context->direct) // AnswerDelivery counts its own.
             context->server->recordEnd(*context, code);
         if (context->exchange)
             context->server->releaseExchange(*context->exchange);
@@ -503,6 +547,7 @@
 
     std::shared_ptr<RequestMemory> memory;
     const std::shared_ptr<AnswerCounts> answers = std::make_shared<AnswerCounts>();
+    AnswerDelivery delivery{answers};
     std::map<MHD_Connection *, OpenConnection> openConnections;
     std::size_t yieldedConnections = 0; ///< Of @c openConnections.
     std::size_t grantedReceiveBytes = 0; ///< Receive buffers of @c openConnections.
@@ -633,6 +678,7 @@
 {
     if (this->impl->daemon == nullptr)
         return;
+    this->impl->delivery.stop();
     MHD_stop_daemon(this->impl->daemon);
     this->impl->daemon = nullptr;
 }
--- a/src/tests/raw_http.h
+++ b/src/tests/raw_http.h
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <cstdlib>
+#include <functional>
 #include <netinet/in.h>
 #include <poll.h>
 #include <string>
@@ -73,6 +74,23 @@
         }
     }
 
+    /** Reads until the server closes, or @p done says that all has arrived. */
+    void readUntil(const std::function<bool()> &done, Duration timeout = 5s)
+    {
+        const TimePoint end = MonotonicClock::now() + timeout;
+        while (!this->closed && !done() && MonotonicClock::now() < end) {
+            pollfd waiting{this->socket, POLLIN, 0};
+            if (::poll(&waiting, 1, 200) <= 0)
+                continue;
+            char buffer[8192];
+            const ssize_t size = ::recv(this->socket, buffer, sizeof(buffer), MSG_DONTWAIT);
+            if (size > 0)
+                this->received.append(buffer, static_cast<std::size_t>(size));
+            else if (size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+                this->closed = true;
+        }
+    }
+
     /** @return Status codes of the answers so far; interim (1xx) answers are left out. */
     std::vector<int> statuses() const
     {
