Fix: [Net] A long head over the limit gets its answer

answer_room/head_over_a_limit_is_refused_whole failed once of two runs: 200 KB of head, no answer for 5 s. receiveFollowed() read on behind the refused head to discard what follows, and at 64 KiB told the library that nothing had been received, although the head for the library was ready; the library waits for new bytes then.

--- a/src/net/request_stream.cpp
+++ b/src/net/request_stream.cpp
@@ -391,7 +391,8 @@
             return received;
         stream.add(bytes);
         discarded += stream.isRefused() ? bytes.size() : 0;
-        if (stream.outputSize() > 0 && (!edge || bytes.size() < asked))
+        const bool noMore = !edge || bytes.size() < asked || stream.isRefused();
+        if (stream.outputSize() > 0 && noMore)
             break;
         if (discarded > MAX_DISCARDED_BYTES) {
             errno = EAGAIN;
