Codechange: [Net] Connections and library answers out of caller_server.cpp

The head of a last answer was encoded twice. With short heads of requests the library's room for the head of an answer is a constant, so library_room goes.

The suites of the server, its memory, and the control address pass as before.

--- a/src/net/answer_delivery.cpp
+++ b/src/net/answer_delivery.cpp
@@ -36,22 +36,6 @@
     text.append(name).append(": ").append(value).append("\r\n");
 }
 
-std::string encodeHead(const Exchange &exchange, BodyFraming framing)
-    ABSL_SHARED_LOCKS_REQUIRED(exchange.mutex)
-{
-    std::string head = absl::StrCat("HTTP/1.1 ", exchange.status, " \r\n");
-    appendField(head, "Connection", "close");
-    if (framing == BodyFraming::Length)
-        appendField(head, "Content-Length", absl::StrCat(exchange.buffer.size()));
-    if (framing == BodyFraming::Chunks)
-        appendField(head, "Transfer-Encoding", "chunked");
-    if (!exchange.contentType.empty())
-        appendField(head, "Content-Type", exchange.contentType);
-    for (const auto &[name, value] : exchange.headers)
-        appendField(head, name, value);
-    return head.append("\r\n");
-}
-
 } // namespace
 
 BodyFraming framingOf(std::string_view method, std::string_view version, int status, bool streamed)
@@ -63,6 +47,22 @@
     return version == "HTTP/1.1" ? BodyFraming::Chunks : BodyFraming::Close;
 }
 
+std::string encodeClosingHead(int status, std::string_view contentType, const HeaderList &headers,
+                              BodyFraming framing, std::size_t bodyBytes)
+{
+    std::string head = absl::StrCat("HTTP/1.1 ", status, " \r\n");
+    appendField(head, "Connection", "close");
+    if (framing == BodyFraming::Length)
+        appendField(head, "Content-Length", absl::StrCat(bodyBytes));
+    if (framing == BodyFraming::Chunks)
+        appendField(head, "Transfer-Encoding", "chunked");
+    if (!contentType.empty())
+        appendField(head, "Content-Type", contentType);
+    for (const auto &[name, value] : headers)
+        appendField(head, name, value);
+    return head.append("\r\n");
+}
+
 /** Interrupts the wait of the thread; outlives it, as exchanges may still hold it. */
 struct AnswerDelivery::Wakeup
 {
@@ -93,8 +93,10 @@
         , wakeup(owner.wakeup)
         , lastProgress(now)
     {
-        absl::MutexLock lock(&this->answer.exchange->mutex);
-        this->pending = encodeHead(*this->answer.exchange, this->answer.framing);
+        Exchange &exchange = *this->answer.exchange;
+        absl::MutexLock lock(&exchange.mutex);
+        this->pending = encodeClosingHead(exchange.status, exchange.contentType, exchange.headers,
+                                          this->answer.framing, exchange.buffer.size());
     }
 
     ~Delivery()
@@ -132,7 +134,7 @@
         if (this->end)
             events = POLLIN;
         else if (this->hasPending())
-            events |= POLLOUT;
+            events = POLLOUT; // The caller may have closed its sending side, and still reads.
         return {this->answer.socket, events, 0};
     }
 
@@ -312,6 +314,7 @@
         answers.swap(this->added);
     }
     std::vector<std::unique_ptr<Delivery>> taken;
+    taken.reserve(answers.size());
     for (DirectAnswer &answer : answers)
         taken.push_back(
             std::make_unique<Delivery>(std::move(answer), *this, MonotonicClock::now()));
--- a/src/net/answer_delivery_base.h
+++ b/src/net/answer_delivery_base.h
@@ -29,6 +29,11 @@
  * @param method, version Of the request. */
 BodyFraming framingOf(std::string_view method, std::string_view version, int status, bool streamed);
 
+/** @return Head of the last answer on a connection.
+ * @param bodyBytes Used with BodyFraming::Length. */
+std::string encodeClosingHead(int status, std::string_view contentType, const HeaderList &headers,
+                              BodyFraming framing, std::size_t bodyBytes);
+
 /** Answer that has begun, and the connection that it is written to. */
 struct DirectAnswer
 {
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -4,19 +4,20 @@
 #include "core/log_func.h"
 #include "net/answer_counts_base.h"
 #include "net/answer_delivery_base.h"
-#include "net/connection_state_func.h"
+#include "net/caller_connections_base.h"
 #include "net/edge_type.h"
 #include "net/grammar_func.h"
 #include "net/grammar_log_func.h"
 #include "net/head_memory_base.h"
-#include "net/library_room_func.h"
+#include "net/library_answer_func.h"
+#include "net/library_memory_type.h"
 #include "net/listen_func.h"
 #include "net/request_head_func.h"
 #include "net/request_stream_base.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <atomic>
-#include <cstring>
 #include <microhttpd.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -31,33 +32,18 @@
 constexpr std::size_t SPARE_CONNECTIONS = 32;
 constexpr unsigned IDLE_TIMEOUT_SECONDS = 20;
 constexpr Duration UPLOAD_TIMEOUT = 30s; ///< For the complete body; slower uploads are aborted.
-constexpr std::size_t STREAM_BLOCK_BYTES = 16 << 10;
 constexpr std::size_t MAX_LOGGED_ID_BYTES = 256;
 /** Status line and the fields that libmicrohttpd adds to the head of an answer. */
 constexpr std::size_t OWN_FIELDS_BYTES = 512;
 /** Time without bytes after which the connection of a refused body is closed. */
 constexpr unsigned REFUSED_TIMEOUT_SECONDS = 2;
 
-/** Open connection of a caller; accessed by libmicrohttpd's thread alone. */
-struct OpenConnection
-{
-    int socket = -1;
-    TimePoint lastProgress;
-    std::size_t receiveBuffer = 0; ///< Counted in Impl::grantedReceiveBytes.
-    bool waits = false; ///< Its request has been received and is answered.
-    bool yielded = false; ///< Shut down; libmicrohttpd is about to close it.
-};
-
 /** @return The bytes of @p answer as the last one on a connection. */
 std::string lastAnswer(const EncodedAnswer &answer)
 {
-    std::string text
-        = absl::StrCat("HTTP/1.1 ", answer.status,
-                       " \r\nConnection: close\r\nContent-Length: ", answer.body.size(),
-                       "\r\nContent-Type: ", answer.contentType, "\r\n");
-    for (const auto &[name, value] : answer.headers)
-        absl::StrAppend(&text, name, ": ", value, "\r\n");
-    return absl::StrCat(text, "\r\n", answer.body);
+    return encodeClosingHead(answer.status, answer.contentType, answer.headers, BodyFraming::Length,
+                             answer.body.size())
+        + answer.body;
 }
 
 } // namespace
@@ -81,7 +67,6 @@
         std::size_t headBytes = 0; ///< Of the request's head.
         std::size_t fields = 0; ///< In the request's head.
         int socket = -1; ///< File descriptor of the connection; -1: unknown.
-        LibraryUse use; ///< Set when the answer begins.
         std::string version; ///< HTTP version of the request.
         bool closes = false; ///< The connection ends with the answer.
         bool direct = false; ///< AnswerDelivery writes the answer, or has done so.
@@ -344,38 +329,12 @@
             this->suspend(exchange, connection);
             return MHD_YES;
         }
-        context.use = libraryUse(connection);
         // The client may still be sending; AnswerDelivery reads on until it has got the answer.
-        if (context.closes || exchange.headBytes + OWN_FIELDS_BYTES > libraryRoom(context.use)) {
+        if (context.closes || exchange.headBytes + OWN_FIELDS_BYTES > ANSWER_HEAD_BYTES) {
             this->deliver(context, connection);
             return MHD_YES;
         }
-        return queueAnswer(context, connection, this->closeAfterAnswer.load());
-    }
-
-    /** Passes an answer that has begun to the library, whose memory has room for its head. */
-    static MHD_Result queueAnswer(const Context &context, MHD_Connection *connection, bool closes)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(context.exchange->mutex)
-    {
-        Exchange &exchange = *context.exchange;
-        MHD_Response *response = nullptr;
-        if (exchange.streamed)
-            response = MHD_create_response_from_callback(
-                MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, &readStream,
-                new StreamReader{context.exchange, connection}, &freeReader);
-        else
-            response = MHD_create_response_from_buffer(
-                exchange.buffer.size(), exchange.buffer.data(), MHD_RESPMEM_MUST_COPY);
-        if (!exchange.contentType.empty())
-            MHD_add_response_header(response, "Content-Type", exchange.contentType.c_str());
-        for (const auto &[name, value] : exchange.headers)
-            MHD_add_response_header(response, name.c_str(), value.c_str());
-        if (closes)
-            MHD_add_response_header(response, "Connection", "close");
-        const MHD_Result queued
-            = MHD_queue_response(connection, static_cast<unsigned>(exchange.status), response);
-        MHD_destroy_response(response);
-        return queued;
+        return queueAnswer(connection, context.exchange, this->closeAfterAnswer.load());
     }
 
     /** Writes an answer that has begun past the library, and suspends the connection until then. */
@@ -390,7 +349,7 @@
                              {"answerHeadBytes", exchange.headBytes},
                              {"headBytes", context.headBytes},
                              {"fields", context.fields},
-                             {"roomBytes", libraryRoom(context.use)}});
+                             {"roomBytes", ANSWER_HEAD_BYTES}});
         context.direct = true;
         MHD_suspend_connection(connection);
         this->delivery.add({context.exchange, context.socket,
@@ -399,64 +358,11 @@
                             [connection]() { MHD_resume_connection(connection); }});
     }
 
-    /** State of readStream(), which suspends the connection while the buffer is empty. */
-    struct StreamReader
-    {
-        std::shared_ptr<Exchange> exchange;
-        MHD_Connection *connection;
-    };
-
-    static ssize_t readStream(void *state, std::uint64_t, char *out, std::size_t max)
-    {
-        auto &reader = *static_cast<StreamReader *>(state);
-        Exchange &exchange = *reader.exchange;
-        std::function<void()> onBufferSpace;
-        std::size_t size = 0;
-        {
-            absl::MutexLock lock(&exchange.mutex);
-            if (exchange.buffer.empty()) {
-                if (exchange.ended)
-                    return exchange.broken ? MHD_CONTENT_READER_END_WITH_ERROR
-                                           : MHD_CONTENT_READER_END_OF_STREAM;
-                MHD_suspend_connection(reader.connection);
-                MHD_Connection *connection = reader.connection;
-                exchange.resumeCaller = [connection]() { MHD_resume_connection(connection); };
-                return 0;
-            }
-            size = std::min(max, exchange.buffer.size());
-            std::memcpy(out, exchange.buffer.data(), size);
-            exchange.buffer.erase(0, size);
-            exchange.countHeld();
-            onBufferSpace = std::move(exchange.onBufferSpace);
-            exchange.onBufferSpace = nullptr;
-        }
-        if (onBufferSpace)
-            onBufferSpace();
-        return static_cast<ssize_t>(size);
-    }
-
-    static void freeReader(void *state) { delete static_cast<StreamReader *>(state); }
-
-    /** @return How the answer has ended, as the library says and as the exchange knows. */
-    static AnswerEnd endOf(Exchange &exchange, MHD_RequestTerminationCode code)
-    {
-        if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
-            return AnswerEnd::Delivered;
-        if (code == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN)
-            return AnswerEnd::Stopped;
-        if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED)
-            return AnswerEnd::CallerStalled;
-        if (code != MHD_REQUEST_TERMINATED_WITH_ERROR || !isPeerConnected(exchange.callerSocket))
-            return AnswerEnd::CallerLeft;
-        absl::MutexLock lock(&exchange.mutex);
-        return exchange.broken ? AnswerEnd::BrokenOff : AnswerEnd::LibraryFailed;
-    }
-
     /** Counts the end of an answer, and logs one that was ready and has not reached the caller. */
     void recordEnd(const Context &context, MHD_RequestTerminationCode code)
     {
         Exchange &exchange = *context.exchange;
-        const AnswerEnd end = endOf(exchange, code);
+        const AnswerEnd end = endOfAnswer(exchange, code);
         this->answers->count(end);
         if (!isUndelivered(end))
             return;
@@ -469,7 +375,7 @@
                              {"answerHeadBytes", exchange.headBytes},
                              {"headBytes", context.headBytes},
                              {"fields", context.fields},
-                             {"roomBytes", libraryRoom(context.use)}});
+                             {"roomBytes", ANSWER_HEAD_BYTES}});
     }
 
     static void onCompleted(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode code)
@@ -505,69 +411,18 @@
             this->onEvent(CallerDisconnected{exchange.id});
     }
 
-    /** Keeps track of the open connections; @c openConnections has stable addresses. */
     static void onConnection(void *self, MHD_Connection *connection, void **state,
                              MHD_ConnectionNotificationCode code)
     {
         auto &server = *static_cast<Impl *>(self);
         if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-            const OpenConnection &closed = server.openConnections[connection];
-            unfollowSocket(closed.socket);
-            server.yieldedConnections -= closed.yielded ? 1 : 0;
-            server.grantedReceiveBytes -= closed.receiveBuffer;
-            server.openConnections.erase(connection);
-            return;
-        }
-        OpenConnection &added = server.openConnections[connection];
-        added.socket = socketOf(connection);
-        followSocket(added.socket, ReadReadiness::Edge, server.heads);
-        added.lastProgress = MonotonicClock::now();
-        *state = &added;
-        server.grantReceiveBuffer(added);
-        server.boundConnections(added);
-    }
-
-    /** Bounds the receive buffer of a new connection, and of those that are still to be accepted:
-     * their bytes arrive before this server sees them. */
-    void grantReceiveBuffer(OpenConnection &added)
-    {
-        const RequestLimits &limits = this->memory->limits;
-        added.receiveBuffer = receiveBufferFor(limits, this->grantedReceiveBytes);
-        this->grantedReceiveBytes += added.receiveBuffer;
-        if (added.receiveBuffer != this->inheritedReceiveBuffer)
-            setReceiveBuffer(added.socket, added.receiveBuffer);
-        const std::size_t next = receiveBufferFor(limits, this->grantedReceiveBytes);
-        if (next == this->inheritedReceiveBuffer || this->quiesced.load())
+            unfollowSocket(socketOf(connection));
+            server.connections->remove(connection);
             return;
-        setReceiveBuffer(this->socket, next);
-        this->inheritedReceiveBuffer = next;
-    }
-
-    /** Shuts down the connection that has made no progress for longest and waits for no answer, if
-     * there are too many; else the one that was added. */
-    void boundConnections(OpenConnection &added)
-    {
-        const std::size_t open = this->openConnections.size() - this->yieldedConnections;
-        if (open <= this->memory->limits.callerConnections)
-            return;
-        OpenConnection *chosen = nullptr;
-        TimePoint oldest = added.lastProgress - MIN_IDLE_TO_YIELD;
-        for (auto &[connection, state] : this->openConnections) {
-            if (state.yielded || state.waits || state.lastProgress > oldest)
-                continue;
-            chosen = &state;
-            oldest = state.lastProgress;
         }
-        OpenConnection &ending = chosen == nullptr ? added : *chosen;
-        logEventRateLimited("connectionClosedForLimit",
-                            {{"open", open},
-                             {"limit", this->memory->limits.callerConnections},
-                             {"idleMs", toMilliseconds(added.lastProgress - ending.lastProgress)}});
-        this->memory->count(chosen == nullptr ? RequestEnd::NoConnection
-                                              : RequestEnd::ConnectionYielded);
-        ending.yielded = true;
-        ++this->yieldedConnections;
-        ::shutdown(ending.socket, SHUT_RDWR);
+        const int socket = socketOf(connection);
+        followSocket(socket, ReadReadiness::Edge, server.heads);
+        *state = &server.connections->add(connection, socket, MonotonicClock::now());
     }
 
     explicit Impl(const Edge &edge)
@@ -579,11 +434,7 @@
     const std::shared_ptr<AnswerCounts> answers = std::make_shared<AnswerCounts>();
     AnswerDelivery delivery{answers};
     std::shared_ptr<HeadMemory> heads;
-    std::map<MHD_Connection *, OpenConnection> openConnections;
-    std::size_t yieldedConnections = 0; ///< Of @c openConnections.
-    std::size_t grantedReceiveBytes = 0; ///< Receive buffers of @c openConnections.
-    /** Receive buffer of the connections that the listening socket accepts. */
-    std::size_t inheritedReceiveBuffer = 0;
+    std::unique_ptr<CallerConnections> connections;
 
     const Edge &edge;
     std::size_t maxBodyBytes = 0;
@@ -635,8 +486,8 @@
     if (this->impl->daemon != nullptr)
         return boost::outcome_v2::success();
     const RequestLimits &limits = this->impl->memory->limits;
-    this->impl->inheritedReceiveBuffer = receiveBufferFor(limits, 0);
-    setReceiveBuffer(this->impl->socket, this->impl->inheritedReceiveBuffer);
+    this->impl->connections
+        = std::make_unique<CallerConnections>(this->impl->memory, this->impl->socket);
     BOOST_OUTCOME_TRYV(startListening(this->impl->socket));
     this->impl->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr, nullptr,
@@ -681,6 +532,12 @@
     }
 }
 
+void CallerServer::limitHeads(std::size_t bytes)
+{
+    const std::size_t limit = bytes == 0 ? DEFAULT_HEAD_BYTES : bytes;
+    this->impl->heads->maxHeadBytes = std::clamp(limit, MIN_HEAD_LIMIT_BYTES, MAX_HEAD_LIMIT_BYTES);
+}
+
 std::string CallerServer::formatMetrics() const
 {
     return this->impl->answers->formatMetrics();
@@ -701,6 +558,7 @@
     if (this->impl->quiesced || this->impl->daemon == nullptr)
         return;
     this->impl->quiesced = true;
+    this->impl->connections->stopAccepting();
     const MHD_socket socket = MHD_quiesce_daemon(this->impl->daemon);
     if (socket != MHD_INVALID_SOCKET)
         ::close(socket);
--- a/src/net/caller_server_base.h
+++ b/src/net/caller_server_base.h
@@ -41,6 +41,9 @@
      * connection is not polled by libmicrohttpd. Must be called periodically. */
     void detectDisconnectedCallers();
 
+    /** Sets the largest head of a request; 0: the default. May be called on any thread. */
+    void limitHeads(std::size_t bytes);
+
     /** @return Samples of how answers have ended, in the Prometheus text format. */
     std::string formatMetrics() const;
 
--- a/src/net/head_memory_base.h
+++ b/src/net/head_memory_base.h
@@ -10,6 +10,10 @@
 /** Largest head of a request, unless the configuration names another limit. */
 constexpr std::size_t DEFAULT_HEAD_BYTES = 16 << 10;
 
+/** Bounds of the limit that a configuration names. */
+constexpr std::size_t MIN_HEAD_LIMIT_BYTES = 1 << 10;
+constexpr std::size_t MAX_HEAD_LIMIT_BYTES = 256 << 10;
+
 /** Count of the bytes of heads that are being received, or wait for their turn on a connection.
  * Thread-safe. */
 class HeadMemory
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,7 +5,7 @@
 #include "net/connection_state_func.h"
 #include "net/grammar_log_func.h"
 #include "net/head_memory_base.h"
-#include "net/library_room_func.h"
+#include "net/library_memory_type.h"
 #include "net/listen_func.h"
 #include "net/request_head_func.h"
 #include "net/request_stream_base.h"
--- a/src/net/request_memory.cpp
+++ b/src/net/request_memory.cpp
@@ -5,7 +5,7 @@
 #include "config/settings_type.h"
 #include "core/log_func.h"
 #include "net/head_memory_base.h"
-#include "net/library_room_func.h"
+#include "net/library_memory_type.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
