Fix: [Config] The limit of heads that a configuration names holds

limits.maxHeaderBytes was not read: a deployment that names 65,536 had its callers refused at 16 KB, one that names 8,192 passed more on. It is read into the policies of the services, since those reach each host, and a host takes heads up to the largest of them, 16 KiB where none is named. A missing or malformed limit does not make a configuration invalid.

--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -111,12 +111,13 @@
     double storeLoadsPerSecond = 0; ///< Rate limit of loads from the weight store; 0: the default.
     /** Set if the number of targets is ordered from the infrastructure. */
     std::optional<TargetCountBounds> targetCount;
+    std::size_t maxHeaderBytes = 0; ///< Of the head of a request; 0: the default.
 
     friend bool operator==(const ServicePolicy &, const ServicePolicy &) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServicePolicy, id, coldStartsPerSecond, memoryMb,
                                                 adapterSlots, ramps, storeLoadsPerSecond,
-                                                targetCount)
+                                                targetCount, maxHeaderBytes)
 
 /** A named path whose requests are forwarded to a service. */
 struct Route
--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -236,10 +236,10 @@
 
 std::string HostRunner::metrics()
 {
-    return this->queryState<std::string>(
-               [](const Host &state) { return formatMetrics(state, MonotonicClock::now()); })
-        + formatGrammarFaults() + this->bodies->formatMetrics()
-        + (this->callers ? this->callers->formatMetrics() : "");
+    return this->queryState<std::string>([](const Host &state) {
+        return formatMetrics(state, MonotonicClock::now());
+    }) + formatGrammarFaults()
+        + this->bodies->formatMetrics() + (this->callers ? this->callers->formatMetrics() : "");
 }
 
 OperatorAnswer HostRunner::callLeader(LeaderCall call)
@@ -296,6 +296,7 @@
         if (isNowReady != this->readyNow.exchange(isNowReady))
             logEvent(isNowReady ? "ready" : "notReady", {{"table", this->host.table}});
         this->advanceShutdown(now);
+        this->limitHeads();
         this->drainedNow = isDrained(this->host, now) && this->exchanges->size() == 0;
         if (now >= probeDue && this->callers) {
             probeDue = now + PROBE_INTERVAL;
@@ -304,6 +305,17 @@
     }
 }
 
+void HostRunner::limitHeads()
+{
+    if (!this->callers || this->headsLimitedAt == this->host.table)
+        return;
+    this->headsLimitedAt = this->host.table;
+    std::size_t most = 0; // The service is known only once the head has been read.
+    for (const auto &[name, service] : this->host.view.services)
+        most = std::max(most, service.maxHeaderBytes);
+    this->callers->limitHeads(most);
+}
+
 void HostRunner::advanceShutdown(TimePoint now)
 {
     if (!this->host.leaving || !this->callers)
--- a/src/daemon/host_runner_base.h
+++ b/src/daemon/host_runner_base.h
@@ -117,6 +117,8 @@
      * the drain time, the listening socket.
      */
     void advanceShutdown(TimePoint now);
+    /** Applies the largest head of a request that the configuration allows, if it has changed. */
+    void limitHeads();
     void handle(const HostEvent &event);
     std::string correlationIdOf(RequestId request) const;
     std::string variantOf(RequestId request) const;
@@ -148,6 +150,7 @@
     std::shared_ptr<RequestMemory> bodies;
     std::unique_ptr<TargetClient> targets;
     std::unique_ptr<CallerServer> callers;
+    Version headsLimitedAt; ///< Table version of the last limitHeads(); on the decision thread.
     BoundedQueue<Task> tasks; ///< For the decision thread.
     Host host; ///< Accessed only by the decision thread, except for its constant settings.
     std::vector<std::string>
--- a/src/tests/answer_room_test.cpp
+++ b/src/tests/answer_room_test.cpp
@@ -364,6 +364,20 @@
     }
 }
 
+// Failure: the limit that a configuration names is not the one that holds.
+Test(answer_room, limit_of_heads_can_be_changed_while_the_server_runs)
+{
+    Answering site;
+    std::string failure;
+    for (const std::size_t limit : {8'192, 65'536, 16'384}) {
+        site.callers().limitHeads(limit);
+        cr_expect_eq(site.call({.headBytes = limit - 400, .fields = 20}, &failure), 200, "%s",
+                     failure.c_str());
+        cr_expect_eq(site.call({.headBytes = limit + 2'000, .fields = 20}, &failure), 431, "%s",
+                     failure.c_str());
+    }
+}
+
 // Failure: a request behind others on its connection loses its answer, as their bytes take the
 // memory of the library.
 Test(answer_room, requests_behind_others_are_answered_whole)
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -280,6 +280,23 @@
         "kind":"safe","timeoutMs":1,"service":"p"},)")));
 }
 
+// Guards against a limit of heads that is not applied, or whose absence makes a configuration
+// invalid.
+Test(platform, limit_of_heads_is_decoded)
+{
+    const auto limitOf = [](const std::string &limits) {
+        std::string reason;
+        const auto read = platform::readConfig(configWith("\"tenants\":[", limits), reason);
+        cr_assert(read, "%s: %s", limits.c_str(), reason.c_str());
+        return read->config.services.at("p").maxHeaderBytes;
+    };
+    cr_assert_eq(limitOf(R"("limits":{"maxHeaderBytes":8192},"tenants":[)"), 8'192);
+    for (const char *none :
+         {R"("tenants":[)", R"("limits":{},"tenants":[)", R"("limits":null,"tenants":[)",
+          R"("limits":{"maxHeaderBytes":"1"},"tenants":[)"})
+        cr_assert_eq(limitOf(none), 0, "%s", none);
+}
+
 // Guards against bounds of the number of targets that are misread or contradict each other.
 Test(platform, bounds_of_the_number_of_targets_are_decoded_and_checked)
 {
