--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -221,6 +221,30 @@
         stringField(line, "rule"), field.empty() ? "" : absl::StrCat(" at the field ", field));
 }
 
+/** @return Why an answer that was ready has not reached the caller. */
+std::string causeOfUndelivered(const LogLine &line)
+{
+    if (stringField(line, "why") == "caller_stalled")
+        return absl::StrCat(line.host, " had the answer, and the caller did not read it");
+    return absl::StrCat(line.host, " had the answer with status ", integerField(line, "status"),
+                        ", and its HTTP library closed the connection: a head of ",
+                        integerField(line, "answerHeadBytes"), " bytes, and room for ",
+                        integerField(line, "roomBytes"));
+}
+
+/** @return Why the head of a request was not read to its end. */
+std::string causeOfRefusedHead(const LogLine &line)
+{
+    const std::string why = stringField(line, "why");
+    if (why == "noRoom")
+        return absl::StrCat(line.host, " held ", integerField(line, "heldInAll"),
+                            " bytes of heads of requests and took no more");
+    if (why == "tooManyFields")
+        return absl::StrCat(line.host, " takes no heads with so many fields");
+    return absl::StrCat(line.host, " takes heads of ", integerField(line, "limit"),
+                        " bytes, and this one was longer");
+}
+
 std::string causeOfRefusal(const std::vector<LogLine> &lines, const LogLine &end)
 {
     const std::string type = stringField(end, "type");
@@ -303,7 +327,11 @@
     out.path = requestLines(lines, tag, targets);
     if (out.path.empty())
         return out;
-    const LogLine &end = out.path.back();
+    // How an answer was sent is no end of a request.
+    const auto last = std::find_if(out.path.rbegin(), out.path.rend(), [](const LogLine &line) {
+        return line.event != "answerDeliveredDirectly";
+    });
+    const LogLine &end = last == out.path.rend() ? out.path.back() : *last;
     std::optional<LogLine> failed;
     for (const LogLine &line : out.path) {
         if (line.event == "attemptEnded")
@@ -316,6 +344,10 @@
         = stringField(decisive, "result") == "answered" && stringField(decisive, "status") == "200";
     if (decisive.event == "requestMalformed")
         out.cause = causeOfMalformed(decisive);
+    else if (decisive.event == "answerNotDelivered")
+        out.cause = causeOfUndelivered(decisive);
+    else if (decisive.event == "requestHeadRefused")
+        out.cause = causeOfRefusedHead(decisive);
     else if (decisive.event == "requestRefused")
         out.cause = causeOfRefusal(lines, decisive);
     else if (decisive.event == "attemptEnded" && !answered)
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -20,6 +20,10 @@
  9.5 front-1 {"event":"requestRefused","type":"no_target","tag":"cold","variant":"m1","freshMs":900,"host":"front-1","unixMs":9500}
  9.6 front-1 {"event":"requestRefused","type":"no_target","tag":"unwanted","variant":"m2/a1","freshMs":900,"host":"front-1","unixMs":9600}
 not a line of the log
+ 9.7 front-1 {"event":"requestHeadRefused","tag":"long","why":"tooLarge","received":17408,"limit":16384,"host":"front-1","unixMs":9700}
+ 9.8 front-1 {"event":"answerNotDelivered","tag":"ready","why":"library_failed","status":200,"answerHeadBytes":900,"roomBytes":20,"host":"front-1","unixMs":9800}
+ 9.9 front-1 {"event":"requestRefused","type":"no_target","tag":"large","variant":"m2/a1","freshMs":900,"host":"front-1","unixMs":9900}
+ 9.9 front-1 {"event":"answerDeliveredDirectly","tag":"large","status":503,"host":"front-1","unixMs":9901}
 10.0 front-1 {"event":"attemptStarted","attempt":5,"target":"t1","tag":"broken","host":"front-1","unixMs":10000}
 10.0 front-2 {"event":"attemptStarted","attempt":5,"target":"t2","tag":"other","host":"front-2","unixMs":10001}
 10.2 front-1 {"event":"attemptEnded","attempt":5,"result":"lost","events":3,"status":200,"host":"front-1","unixMs":10200}
@@ -114,6 +118,17 @@
                "Content-Length, so the request may have run");
 }
 
+// Guards against an answer that was ready and did not reach its caller, or a refused head, that no
+// one can tell afterwards.
+Test(explain, lost_answer_and_refused_head_name_their_sizes)
+{
+    checkCause("long", 1, "front-1 takes heads of 16384 bytes, and this one was longer");
+    checkCause("ready", 1,
+               "front-1 had the answer with status 200, and its HTTP library closed the "
+               "connection: a head of 900 bytes, and room for 20");
+    checkCause("large", 2, "no target had m2/a1");
+}
+
 Test(explain, answered_attempt_names_its_target)
 {
     checkCause("served", 2, "the answer of t4 was forwarded completely");
--- a/src/tests/system/unread_bytes.py
+++ b/src/tests/system/unread_bytes.py
@@ -17,6 +17,7 @@
                                   chunk, chunked, with_length)
 
 CI = {"pipelined_bodies_behind_a_wait", "crowd_of_one_byte_chunks", "pipelined_small_requests",
+      "pipelined_long_heads_behind_a_wait", "crowd_of_half_heads",
       "requests_to_operators_whose_answers_are_not_read"}
 
 MEMORY_MB = 48  # The daemons' memoryMb.
@@ -25,6 +26,8 @@
 MAX_SENT = MIB  # By one client; more than a connection's buffers on both ends take.
 PUSH_S = 8  # Time in which the crowd sends as much as it can.
 PIECE_BYTES = 60_000  # A small body: at most 64 KiB.
+HEAD_FIELDS = 400  # At most 512 are taken.
+HEAD_BYTES = 15_000  # At most 16,384 are taken.
 SLOW_MS = "20000"  # Longer than the crowd acts.
 
 
@@ -165,6 +168,28 @@
         act_on(site, report, site.caller(HOST), CROWD, request, request * 300)
 
 
+def long_head(site):
+    """Returns the head of a request of HEAD_FIELDS fields with HEAD_BYTES together."""
+    field = b"X-%03d: " + b"h" * (HEAD_BYTES // HEAD_FIELDS - 9) + b"\r\n"
+    fields = b"".join(field % number for number in range(HEAD_FIELDS))
+    return with_length(site, 2)[:-2] + fields + b"\r\n"
+
+
+def scenario_pipelined_long_heads_behind_a_wait(build, report, seed):
+    """Long heads of many fields behind a request that waits for its answer take bounded memory."""
+    del seed
+    with small_site(build) as site:
+        act_on(site, report, site.caller(HOST), CROWD, slow_request(site), long_head(site) + b"{}")
+
+
+def scenario_crowd_of_half_heads(build, report, seed):
+    """Long heads that stop just short of their end, behind small requests, take bounded memory."""
+    del seed
+    with small_site(build) as site:
+        small = with_length(site, 2) + b"{}"
+        act_on(site, report, site.caller(HOST), CROWD, small * 20 + long_head(site)[:-2], b"X")
+
+
 def scenario_requests_to_operators_whose_answers_are_not_read(build, report, seed):
     """Requests to the operators' port of clients that read no answer take bounded memory."""
     del seed
