--- a/src/tests/malformed_control_test.cpp
+++ b/src/tests/malformed_control_test.cpp
@@ -111,3 +111,22 @@
     cr_expect_eq(connection.statuses(), std::vector<int>{200});
     cr_expect_eq(control.take(), std::vector<std::string>{"GET /a "});
 }
+
+// Guards against requests behind others that are never answered: the library of this server waits
+// for bytes that can be received, and not for those that are ready for it.
+Test(malformed_control, requests_behind_others_are_answered, .timeout = 60)
+{
+    ControlAddress control;
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::size_t broken = 0;
+    for (std::size_t requests = 200; requests < 700; requests += 7) {
+        std::string bytes;
+        for (std::size_t i = 0; i < requests; ++i)
+            bytes += request;
+        RawConnection connection(control.port());
+        connection.send(bytes);
+        connection.readUntil([&]() { return connection.statuses().size() == requests; }, 2s);
+        broken += connection.statuses().size() == requests ? 0 : 1;
+    }
+    cr_expect_eq(broken, 0, "%zu connections", broken);
+}
