--- a/src/tests/raw_http.h
+++ b/src/tests/raw_http.h
@@ -62,15 +62,8 @@
         const TimePoint end = MonotonicClock::now() + timeout;
         while (!this->closed && MonotonicClock::now() < end) {
             const bool complete = heads > 0 && this->statuses().size() >= heads;
-            pollfd waiting{this->socket, POLLIN, 0};
-            if (::poll(&waiting, 1, complete ? 20 : 200) == 0 && complete)
+            if (!this->receive(complete ? 20 : 200) && complete)
                 return;
-            char buffer[8192];
-            const ssize_t size = ::recv(this->socket, buffer, sizeof(buffer), MSG_DONTWAIT);
-            if (size > 0)
-                this->received.append(buffer, static_cast<std::size_t>(size));
-            else if (size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
-                this->closed = true;
         }
     }
 
@@ -78,17 +71,8 @@
     void readUntil(const std::function<bool()> &done, Duration timeout = 5s)
     {
         const TimePoint end = MonotonicClock::now() + timeout;
-        while (!this->closed && !done() && MonotonicClock::now() < end) {
-            pollfd waiting{this->socket, POLLIN, 0};
-            if (::poll(&waiting, 1, 200) <= 0)
-                continue;
-            char buffer[8192];
-            const ssize_t size = ::recv(this->socket, buffer, sizeof(buffer), MSG_DONTWAIT);
-            if (size > 0)
-                this->received.append(buffer, static_cast<std::size_t>(size));
-            else if (size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
-                this->closed = true;
-        }
+        while (!this->closed && !done() && MonotonicClock::now() < end)
+            this->receive(200);
     }
 
     /** @return Status codes of the answers so far; interim (1xx) answers are left out. */
@@ -110,6 +94,21 @@
     bool closed = false; ///< The server has closed or reset the connection.
 
 private:
+    /** Receives what arrives within @p waitMs. @return Whether something has happened. */
+    bool receive(int waitMs)
+    {
+        pollfd waiting{this->socket, POLLIN, 0};
+        if (::poll(&waiting, 1, waitMs) == 0)
+            return false;
+        char buffer[8192];
+        const ssize_t size = ::recv(this->socket, buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (size > 0)
+            this->received.append(buffer, static_cast<std::size_t>(size));
+        else if (size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+            this->closed = true;
+        return true;
+    }
+
     int socket;
 };
 
