--- a/review/common-3/engine.py
+++ b/review/common-3/engine.py
@@ -37,7 +37,9 @@
 
     @classmethod
     def take(cls, order):
-        """Returns the status of the answer."""
+        """Returns the status of the answer. This engine has no adapters."""
+        if order.get("adapter"):
+            return 400
         with LOCK:
             held = order["model"] in MODELS
             if held == (order["op"] == "load"):
--- a/review/common-3/site3.py
+++ b/review/common-3/site3.py
@@ -106,8 +106,9 @@
 class Site:
     """Processes of one case; all are ended by close()."""
 
-    def __init__(self, folder, controls=3, entries=1):
+    def __init__(self, folder, controls=3, entries=1, entry_memory_mb=260):
         self.record = Record(folder)
+        self.memory_mb = {"core": 256, "front": entry_memory_mb}
         self.run = tempfile.mkdtemp(prefix="review3-")
         self.processes = {}
         self.settings = {}
@@ -132,7 +133,7 @@
                   "listen": {"front": f"{ip}:{self.ports['front']}",
                              "ready": f"{ip}:{self.ports['ready']}",
                              "control": f"{ip}:{self.ports['control']}"},
-                  "bounds": BOUNDS, "limits": {"memoryMb": 260, "maxFds": 4096}}
+                  "bounds": BOUNDS, "limits": {"memoryMb": self.memory_mb[name.split("-")[0]], "maxFds": 4096}}
         with open(os.path.join(ROOT, "platform", template), encoding="utf-8") as file:
             text = render(file.read(), fields)
         json.loads(text)
@@ -290,7 +291,7 @@
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000},
             "tenants": [{"name": "hule930", "apiKeys": [KEY], "priority": 1, "unit": "tokens",
-                         "plainTokens": 200, "ratePerS": 320000, "burst": 320000}]}
+                         "plainTokens": 200, "ratePerS": 32154, "burst": 32154}]}
 
 
 def route(name, prefix, kind, service, **more):
