--- a/review/common-3/site3.py
+++ b/review/common-3/site3.py
@@ -248,27 +248,51 @@
         self.thread.start()
 
     def read(self):
-        self.connection = http.client.HTTPConnection(self.address[0], int(self.address[1]),
-                                                     timeout=self.timeout)
         try:
-            self.connection.request("POST", self.path, body=b"prompt", headers=self.headers)
-            answer = self.connection.getresponse()
-            self.status = answer.status
-            for line in iter(answer.readline, b""):
-                if line.startswith(b"id:"):
-                    self.pieces.append(int(line[3:]))
-            # A body that breaks off in its chunks ends as one that is complete does, but for this.
-            self.complete = answer.isclosed() and answer.chunk_left in (None, 0)
+            self.connection = socket.create_connection((self.address[0], int(self.address[1])),
+                                                       timeout=self.timeout)
+            head = [f"POST {self.path} HTTP/1.1", "Content-Length: 6"]
+            head += [f"{name}: {value}" for name, value in self.headers.items()]
+            self.connection.sendall(("\r\n".join(head) + "\r\n\r\nprompt").encode())
+            with self.connection.makefile("rb") as answer:
+                self.read_answer(answer)
         except TimeoutError:
-            self.connection.sock.close()
-            answer.close()
+            self.connection.close()
             self.left_at = time.monotonic()
             self.site.record(f"request {self.request}: its client has left after a gap")
-        except (OSError, http.client.HTTPException, ValueError) as error:
+        except (OSError, ValueError) as error:
             self.site.record(f"request {self.request}: {error!r}")
+        finally:
+            if self.connection is not None:
+                self.connection.close()
         self.site.record(f"answered: request {self.request}, status {self.status}, pieces "
                          f"{self.pieces}, {'complete' if self.complete else 'not complete'}")
 
+    def read_answer(self, answer):
+        """Reads the head, then chunks up to the last one; a body without it is not complete."""
+        line = answer.readline()
+        if not line:
+            return
+        self.status = int(line.split()[1])
+        while line not in (b"\r\n", b""):
+            line = answer.readline()
+        events = b""
+        while self.status == 200:
+            line = answer.readline()
+            if not line.endswith(b"\r\n"):
+                return
+            size = int(line.split(b";")[0], 16)
+            data = answer.read(size + 2)
+            if len(data) < size + 2:
+                return
+            if size == 0:
+                self.complete = True
+                return
+            events += data[:size]
+            lines = events.split(b"\n")
+            events = lines.pop()
+            self.pieces += [int(item[3:]) for item in lines if item.startswith(b"id:")]
+
 
 def request_headers(request, deadline_ms, more=None):
     headers = {"Host": HOST, PREFIX + "Request-Id": request, PREFIX + "Deadline-Ms": str(deadline_ms),
