--- a/review/common-3/site3.py
+++ b/review/common-3/site3.py
@@ -111,6 +111,7 @@
         self.memory_mb = {"core": 256, "front": entry_memory_mb}
         self.run = tempfile.mkdtemp(prefix="review3-")
         self.processes = {}
+        self.closed = False
         self.settings = {}
         self.daemon = os.path.join(ROOT, "target", "bilberrybendd")
         if not os.path.exists(self.daemon):
@@ -144,6 +145,8 @@
         self.start(name, [self.daemon, "--settings", path])
 
     def start(self, name, command):
+        if self.closed:
+            return
         log = open(os.path.join(self.run, name + ".log"), "ab")
         self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log, cwd=ROOT)
         log.close()
@@ -209,6 +212,7 @@
         sys.exit(SKIPPED)
 
     def close(self):
+        self.closed = True
         for name, process in self.processes.items():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -217,6 +221,8 @@
         if os.environ.get("KEEP_LOGS"):
             print(self.run)
             return
+        if not os.path.isdir(self.run):
+            return  # Closed before.
         for root, folders, files in os.walk(self.run, topdown=False):
             for item in files:
                 os.unlink(os.path.join(root, item))
@@ -250,7 +256,7 @@
         self.stopped = False
 
     def run(self):
-        while not self.stopped:
+        while not self.stopped and not self.site.closed:
             for name in self.names:
                 process = self.site.processes[name]
                 used = memory_mb(process)
