--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,97 +1,123 @@
-"""Clients that nobody controls name adapters that do not exist; checks the memory of the daemons."""
+"""Manifests of many routes come in quick succession; checks the memory of the control daemons."""
 
-import asyncio
+import json
 import os
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common-3"))
-from site3 import (Site, Platform, call, engine_config, memory_mb, model_headers, request_headers,
-                   route, MODEL, PREFIX)
+from site3 import Site, Platform, call, engine_config, route
 
-ENTRY_MEMORY_MB = 120  # The smallest machine of the sheets.
-CONNECTIONS = 120  # At each entry daemon.
-NAME_BYTES = 15_000  # Within maxHeaderBytes, 16,384.
-DEADLINE_MS = 300
-ATTACK_S = 80.0
+ROUTES = 1400  # The largest big_config of the site files.
+MODELS = 628
+TENANTS = 19
+STORM_S = 4.0
+STORM_GAP_S = 0.06
+STORMS = 12
+PAUSE_S = 9.0  # From the begin of a storm to that of the next one.
+IN_PROGRESS = 8  # "Up to eight orders may be in progress at once."
+WATCH_S = 104.0
 
 
-async def ask(address, number, trouble, counts, until):
-    """One client: requests one after the other, each for a name of its own."""
-    host, port = address.rsplit(":", 1)
-    sent = 0
-    while time.monotonic() < until[0]:
-        writer = None
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            while time.monotonic() < until[0]:
-                sent += 1
-                adapter = f"a{number}-{sent}-".ljust(NAME_BYTES, "x")
-                model = f"{MODEL}/{adapter}" if trouble else MODEL
-                headers = request_headers(f"c{number}-{sent}", DEADLINE_MS,
-                                          {PREFIX + "Model": model, PREFIX + "Token-Count": "1,1"})
-                lines = ["POST /show/1 HTTP/1.1", "Content-Length: 0"]
-                lines += [f"{name}: {value}" for name, value in headers.items()]
-                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
-                status = int(head.split()[1])
-                counts[status] = counts.get(status, 0) + 1
-                if b"chunked" in head.lower():
-                    await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), 5)
-                    continue
-                length = next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
-                              if line.lower().startswith(b"content-length"))
-                await asyncio.wait_for(reader.readexactly(length), 5)
-        except (OSError, EOFError, ValueError, asyncio.TimeoutError, asyncio.LimitOverrunError):
-            counts["closed"] = counts.get("closed", 0) + 1
-            await asyncio.sleep(0.2)
-        finally:
-            if writer is not None:
-                writer.close()
+def manifest(version):
+    """Each version changes the time-out of one route."""
+    routes = [route(f"r{i}", f"/p{i}/", "streaming", "wording-desk",
+                    timeoutMs=15001 if i == version % ROUTES else 15000) for i in range(ROUTES)]
+    config = engine_config(version, routes)
+    models = config["services"][0]["engine"]["models"]
+    models += [dict(models[0], name=f"m{i:05}", adapters=1) for i in range(MODELS - len(models))]
+    tenant = config["tenants"][0]
+    config["tenants"] += [dict(tenant, name=f"t{i}", apiKeys=[f"key-{i}-0", f"key-{i}-1"])
+                          for i in range(TENANTS - 1)]
+    return json.dumps(config)
 
 
-async def attack(site, platform, trouble, counts):
-    until = [time.monotonic() + ATTACK_S]
-    clients = [asyncio.create_task(ask(entry, i * CONNECTIONS + n, trouble, counts, until))
-               for i, entry in enumerate(site.entries) for n in range(CONNECTIONS)]
-    noted = time.monotonic()
-    while time.monotonic() < until[0] and not platform.is_broken():
-        await asyncio.sleep(0.2)
-        if time.monotonic() - noted >= 5:
-            noted = time.monotonic()
-            used = {name: round(memory_mb(site.processes[name])) for name in platform.names}
-            site.record(f"answered so far: {counts}; MB in use: {used}")
-    until[0] = 0
-    await asyncio.gather(*clients)
+class Operator:
+    """Sends manifests; moves on to another daemon, with more and more pause, until one is acked."""
+
+    def __init__(self, site):
+        self.site = site
+        self.places = threading.Semaphore(IN_PROGRESS)
+        self.version = 1
+        self.sent = 0
+        self.answers = {}
+        self.acked = 0
+        self.last_ack = time.monotonic()
+        self.stopped = False
+        self.threads = []
+
+    def send_next(self):
+        self.version += 1
+        thread = threading.Thread(target=self.send, args=(self.version, manifest(self.version)))
+        self.threads.append(thread)
+        thread.start()
+
+    def send(self, version, body):
+        turn = version
+        pause = 0.1
+        while not self.stopped:
+            self.sent += 1
+            # "a second without a response (more for large bodies)"
+            status, _, _ = call(self.site.controls[turn % len(self.site.controls)], "POST",
+                                "/config/replace", body, {"Content-Type": "application/json"},
+                                timeout=1.5)
+            self.answers[status] = self.answers.get(status, 0) + 1
+            if status == 200:
+                self.acked += 1
+                self.last_ack = time.monotonic()
+                break
+            turn += 1
+            time.sleep(pause)
+            pause = min(2 * pause, 1.6)
+        self.places.release()
+
+    def storm(self):
+        end = time.monotonic() + STORM_S
+        while time.monotonic() < end and not self.stopped:
+            if self.places.acquire(timeout=0.1):
+                self.send_next()
+            time.sleep(STORM_GAP_S)
 
 
 def play(site):
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    site.configure(engine_config(1, [route("r-show", "/show/", "streaming", "wording-desk",
-                                           latencyGoalMs=600, timeoutMs=15000)]))
-    for engine in ("i-a", "i-b", "i-c", "i-d"):
-        site.engine(engine, "wording-desk", events=3, gap_ms=10)
-    site.warm_up("POST", "/show/1", model_headers(MODEL), count=8)
+    operator = Operator(site)
+    site.configure(json.loads(manifest(operator.version)))
     platform = Platform(site)
     platform.start()
-    counts = {}
-    kind = "adapters that do not exist" if trouble else "the model"
-    site.record(f"{CONNECTIONS} clients at each entry daemon ask for {kind}")
-    asyncio.run(attack(site, platform, trouble, counts))
+    begin = time.monotonic()
+    turn = 0
+    while time.monotonic() < begin + WATCH_S and not platform.is_broken():
+        due = begin + turn * PAUSE_S
+        if turn < STORMS and time.monotonic() >= due:
+            turn += 1
+            if trouble:
+                operator.storm()
+            elif operator.places.acquire(timeout=1):
+                operator.send_next()
+            site.record(f"versions sent up to {operator.version}, acknowledged {operator.acked}, "
+                        f"answers {operator.answers}; most MB in use: "
+                        f"{ {name: round(mb) for name, mb in platform.peaks.items()} }")
+        if turn == STORMS and not any(thread.is_alive() for thread in operator.threads):
+            break
+        time.sleep(0.1)
+    operator.stopped = True
+    for thread in operator.threads:
+        thread.join()
     platform.stopped = True
     platform.join()
-    ordinary = [call(entry, "POST", "/show/1", b"x",
-                     request_headers(f"ordinary-{i}", 2500, model_headers(MODEL)))[0]
-                for i, entry in enumerate(site.entries)]
-    site.record(f"answers: {counts}; ordinary requests afterwards: {ordinary}")
+    site.record(f"{operator.version} versions, {operator.sent} calls, {operator.acked} acknowledged, "
+                f"answers {operator.answers}")
     site.record(f"ends for memory: {platform.ends}; most MB in use: "
-                f"{ {name: round(peak) for name, peak in platform.peaks.items()} }")
-    print(f"processes ended for memory: {platform.ends}", file=sys.stderr)
+                f"{ {name: round(mb) for name, mb in platform.peaks.items()} }")
+    print(f"acknowledged {operator.acked} of {operator.version - 1}; ended for memory: "
+          f"{platform.ends}", file=sys.stderr)
     return 1 if platform.is_broken() else 0
 
 
-site = Site(FOLDER, entries=2, entry_memory_mb=ENTRY_MEMORY_MB)
+site = Site(FOLDER, controls=3, entries=2)
 try:
     code = play(site)
 finally:
