Fix: [Stream] [Host] [Net] A stream goes on behind its last event, whatever the ids of its events are

Cause: 0 stood for "no event yet" and for the event 0, in the transfer, in the request and in the attempt; one number also answered whether the stream has begun and how many events there were, and it was guessed where an event has no id.

StreamProgress keeps begun, the count and the last id apart; no number is a default. Where the last event's place cannot be named, the stream ends as broken. The id is sent back as it was written.

--- a/src/daemon/host_runner.cpp
+++ b/src/daemon/host_runner.cpp
@@ -6,6 +6,7 @@
 #include "core/log_func.h"
 #include "duty/usage_counter_func.h"
 #include "net/grammar_log_func.h"
+#include "stream/stream_progress_func.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -386,7 +387,7 @@
                              {"result", ended->result},
                              {"bound", ended->bound},
                              {"status", ended->status},
-                             {"events", ended->eventsRelayed},
+                             {"events", ended->relayed.events},
                              {"connectionLost", ended->connectionLost}});
     if (const auto *stated = std::get_if<TargetStated>(&event))
         logEventRateLimited("targetStated",
@@ -413,7 +414,9 @@
             line["target"] = start->target;
             line["targetVersion"] = this->softwareVersionOf(start->target);
             line["remainingMs"] = start->remaining.count() / 1000;
-            line["resumeAfter"] = start->resumeAfter;
+            line["begun"] = start->relayed.begun;
+            if (const std::optional<EventId> last = continuesAfter(start->relayed))
+                line["resumeAfter"] = last->text;
             line["parts"] = this->promptPartsOf(start->request);
             addWaits(line, start->waits);
             addRank(line, start->ranking);
--- a/src/host/attempt_cmd.cpp
+++ b/src/host/attempt_cmd.cpp
@@ -2,6 +2,7 @@
 #include "host/host_internal.h"
 
 #include "queue/fair_queue_func.h"
+#include "stream/stream_progress_func.h"
 
 #include <algorithm>
 
@@ -119,11 +120,11 @@
     const bool broken
         = ended.result == AttemptResult::Lost || ended.result == AttemptResult::Stalled;
     const auto target = host.targets.find(request.target);
-    return broken && !request.asked.byRoute && ended.eventsRelayed > 0
-        && request.attempts <= MAX_RESUMES && target != host.targets.end()
-        && target->second.announcement.start == request.targetStart && !target->second.statedLeaving
-        && now >= target->second.quietUntil && hasRequest(target->second, now)
-        && now < request.deadline - REFUSAL_MARGIN;
+    return broken && !request.asked.byRoute && ended.relayed.events > 0
+        && canContinue(ended.relayed) && request.attempts <= MAX_RESUMES
+        && target != host.targets.end() && target->second.announcement.start == request.targetStart
+        && !target->second.statedLeaving && now >= target->second.quietUntil
+        && hasRequest(target->second, now) && now < request.deadline - REFUSAL_MARGIN;
 }
 
 /** Starts an attempt that continues a broken stream at the same target. */
@@ -152,19 +153,25 @@
     start.interByteLimit = 5s;
     start.freshConnection = true;
     start.correlation = request.correlation;
-    start.resumeAfter = ended.eventsRelayed;
+    start.relayed = ended.relayed;
     start.reportBegin = reportsBegin(host, request);
     start.urgency = urgencyOf(host, request, now);
     start.ranking = rankNoteOf(request, now);
     effects.push_back(start);
 }
 
+/** @return Whether another target may give what the caller lacks of the response. */
+bool mayContinueElsewhere(const Request &request)
+{
+    return !request.relayed.begun || (request.resumable && canContinue(request.relayed));
+}
+
 /** @return Whether the request may be attempted again. If so, one retry is taken from the service's
  * retry budget, unless the last attempt was not sent. */
 bool mayRetry(Host &host, const Request &request, const AttemptEnded &ended, TimePoint now)
 {
     const bool expired = request.callerGone || now >= request.deadline - REFUSAL_MARGIN;
-    if (expired || (ended.eventsRelayed > 0 && !request.resumable))
+    if (expired || !mayContinueElsewhere(request))
         return false;
     const bool didNotRun
         = ended.result == AttemptResult::Refused || ended.result == AttemptResult::NotSent;
@@ -229,7 +236,8 @@
     recordTargetOutcome(host, request, ended, effects, now);
     if (ended.result == AttemptResult::Lost && ended.connectionLost)
         recordLostRequest(host, request, now);
-    request.eventsRelayed = std::max(request.eventsRelayed, ended.eventsRelayed);
+    if (ended.relayed.begun)
+        request.relayed = ended.relayed;
     const bool didNotRun
         = ended.result == AttemptResult::Refused || ended.result == AttemptResult::NotSent;
     request.maySent = request.maySent || !didNotRun;
--- a/src/host/dispatch_cmd.cpp
+++ b/src/host/dispatch_cmd.cpp
@@ -300,7 +300,7 @@
     start.freshConnection = !request.repeatable || request.attempts > 1;
     start.keepAnswer = request.recordOwned;
     start.correlation = request.correlation;
-    start.resumeAfter = request.eventsRelayed;
+    start.relayed = request.relayed;
     start.account = request.account;
     start.waits = waitsOf(request, now);
     start.reportBegin = reportsBegin(host, request);
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -93,7 +93,7 @@
     std::set<TargetId> tried; ///< Targets of all attempts so far.
     bool maySent = false; ///< Whether a target may have run the request.
     bool callerGone = false;
-    std::int64_t eventsRelayed = 0; ///< Stream events relayed to the caller so far.
+    StreamProgress relayed; ///< What the caller has of a streamed response.
     bool suspected = false; ///< A target was lost while running a request with the same digest.
     TimePoint begunAt; ///< Time at which the response of the latest attempt began; epoch: not yet.
     /** Whether Host::answeredParts includes the response of the latest attempt. */
@@ -120,7 +120,7 @@
     Request, asked, account, group, workClass, repeatable, recorded, recordOwned, state, estimate,
     charged, arrived, admittedAt, deadline, waitUntil, queuedAt, firstDispatchAt, dispatchedAt,
     attempt, correlation, target, targetStart, attempts, runs, mostRuns, resumable, tried, maySent,
-    callerGone, eventsRelayed, suspected, begunAt, beginCounted, trialUntil, heldByRate, origin,
+    callerGone, relayed, suspected, begunAt, beginCounted, trialUntil, heldByRate, origin,
     proposedOrigin, originRevision, originEpoch, originRegistry, rank, goalAt, countedInUsage,
     ranked, priority, limits)
 
--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -3,6 +3,7 @@
 
 #include "link/link_type.h"
 #include "queue/fair_queue_base.h"
+#include "stream/stream_progress_type.h"
 #include "table/refusals.h"
 #include "target/statement_type.h"
 
@@ -110,14 +111,14 @@
     ResponseLimit bound = ResponseLimit::None; ///< Limit that the response exceeded.
     int status = 0; ///< HTTP status of the response; 0 if there was none.
     std::int64_t tokens = 0; ///< Number of generated tokens.
-    std::int64_t eventsRelayed = 0; ///< Stream events relayed to the caller so far.
+    StreamProgress relayed; ///< What the caller has of a stream; of this and earlier attempts.
     /** The target closed or reset the connection, which indicates a crash rather than a stall. */
     bool connectionLost = false;
     bool calledBack = false; ///< Not sent because of CallBackAttempts.
     std::optional<StoredAnswer> answer; ///< Response to store; only for recorded calls.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AttemptEnded, attempt, result, bound, status,
-                                                tokens, eventsRelayed, connectionLost, calledBack,
+                                                tokens, relayed, connectionLost, calledBack,
                                                 answer)
 
 /** The first event of a streamed response was relayed; the attempt goes on. */
@@ -292,7 +293,7 @@
     /** Correlation id sent to the target; a resume sends the id of the attempt that began the
      * stream. */
     AttemptId correlation;
-    std::int64_t resumeAfter = 0; ///< Number of stream events that were already relayed.
+    StreamProgress relayed; ///< What the caller has of the stream that this attempt continues.
     AccountId account; ///< Client account of the request; empty on open routes.
     bool holdFailures = false; ///< Server errors are withheld from the caller, for a retry.
     bool reportBegin = false; ///< ResponseBegan is to be reported.
@@ -306,7 +307,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartAttempt, attempt, request, target, address,
                                                 remaining, deadline, sendBy, firstByteLimit,
                                                 interByteLimit, freshConnection, keepAnswer,
-                                                correlation, resumeAfter, account, holdFailures,
+                                                correlation, relayed, account, holdFailures,
                                                 reportBegin, reportStatement, targetStart)
 
 /** Cancels a running attempt; its AttemptEnded still follows. */
--- a/src/host/rank_cmd.cpp
+++ b/src/host/rank_cmd.cpp
@@ -34,9 +34,8 @@
  * when it is served, and no target has begun it. */
 bool waitsForSlotOnly(const Host &host, const Request &request, TimePoint now)
 {
-    return request.attempts == 0 && request.eventsRelayed == 0 && !request.origin
-        && isFresh(host, now) && hasEligibleTarget(host, request.group, now)
-        && !rateWait(host, request.group, 0, now);
+    return request.attempts == 0 && !request.relayed.begun && !request.origin && isFresh(host, now)
+        && hasEligibleTarget(host, request.group, now) && !rateWait(host, request.group, 0, now);
 }
 
 } // namespace
@@ -85,7 +84,7 @@
         return std::nullopt;
     StartLimits limits = request.limits;
     // A stream that has begun waits with its caller at every event.
-    if (request.eventsRelayed > 0)
+    if (request.relayed.begun)
         limits = {now, now};
     return engineUrgency(request.rank, ranks->second.size(), limits, now);
 }
--- a/src/host/request_end_cmd.cpp
+++ b/src/host/request_end_cmd.cpp
@@ -173,7 +173,7 @@
 
 TimePoint latestDispatch(const Request &request)
 {
-    const bool isLimited = request.waitUntil != TimePoint{} && request.eventsRelayed == 0;
+    const bool isLimited = request.waitUntil != TimePoint{} && !request.relayed.begun;
     return isLimited ? std::min(request.waitUntil, request.deadline) : request.deadline;
 }
 
@@ -195,8 +195,7 @@
                               TimePoint now)
 {
     const bool forecast = hasForecast(host, request.group, now);
-    const bool mayLoad
-        = (request.waitUntil != TimePoint{} || forecast) && request.eventsRelayed == 0;
+    const bool mayLoad = (request.waitUntil != TimePoint{} || forecast) && !request.relayed.begun;
     const std::optional<Duration> load
         = mayLoad ? estimatedLoadTime(host, request.group, now) : std::nullopt;
     const std::optional<Duration> quiet = quietLeft(host, request.group, now);
@@ -239,11 +238,11 @@
         const RequestId id = host.waitDeadlines.begin()->second;
         host.waitDeadlines.erase(host.waitDeadlines.begin());
         const Request &request = host.requests.at(id);
-        if (request.state == RequestState::WaitingForOrigin && request.eventsRelayed == 0) {
+        if (request.state == RequestState::WaitingForOrigin && !request.relayed.begun) {
             refuse(host, id, RefusalCode::ControlUnreachable, effects, now, DEFAULT_RETRY_AFTER);
             continue;
         }
-        if (request.state != RequestState::Queued || request.eventsRelayed > 0)
+        if (request.state != RequestState::Queued || request.relayed.begun)
             continue;
         const std::optional<Duration> load = estimatedLoadTime(host, request.group, now);
         refuseUntilLoaded(host, id, load.value_or(DEFAULT_RETRY_AFTER), effects, now);
--- a/src/host/statement_cmd.cpp
+++ b/src/host/statement_cmd.cpp
@@ -198,8 +198,7 @@
     std::map<WorkGroup, std::size_t> positions;
     std::vector<std::pair<RequestId, Duration>> late;
     for (const auto &[id, request] : host.requests) {
-        if (request.state != RequestState::Queued || !request.heldByRate
-            || request.eventsRelayed > 0)
+        if (request.state != RequestState::Queued || !request.heldByRate || request.relayed.begun)
             continue;
         std::size_t &position = positions[request.group];
         const std::optional<Duration> wait = rateWait(host, request.group, position, now);
--- a/src/host/stream_cmd.cpp
+++ b/src/host/stream_cmd.cpp
@@ -64,7 +64,7 @@
  * it. */
 bool mayChangeOrigin(const Request &request)
 {
-    return !request.asked.takesUp && request.eventsRelayed == 0;
+    return !request.asked.takesUp && !request.relayed.begun;
 }
 
 /** @return Whether the leader knew a later registry than this host when it named the origin. */
@@ -168,7 +168,7 @@
     if (isServed(host, request))
         return false;
     // Its model can be loaded at a target of the version.
-    const bool mayLoad = request.eventsRelayed == 0 && !request.group.variant.model.value.empty()
+    const bool mayLoad = !request.relayed.begun && !request.group.variant.model.value.empty()
         && hasTargets(host, *request.origin) && now + MIN_LOAD_TIME < latestDispatch(request);
     if (mayLoad)
         return false;
--- a/src/host/usage_cmd.cpp
+++ b/src/host/usage_cmd.cpp
@@ -57,9 +57,9 @@
     // The time of the first token of an answer in one piece is not known. It is nearer to the
     // dispatch than to the end of the generation.
     const bool answered = ended.result == AttemptResult::Answered && ended.status < 400;
-    if (isPlain(request) || (answered && ended.eventsRelayed == 0))
+    if (isPlain(request) || (answered && !ended.relayed.begun))
         count(host, request, request.dispatchedAt);
-    else if (ended.eventsRelayed > 0)
+    else if (ended.relayed.begun)
         count(host, request, now);
 }
 
--- a/src/net/edge_type.h
+++ b/src/net/edge_type.h
@@ -94,8 +94,12 @@
     AnswerHead (*readAnswerHead)(const ForwardedRequest &forwarded, const StartAttempt &attempt,
                                  int status, const HeaderList &headers);
     CompletionRule completionRule; ///< Rule by which a target's answer counts as complete.
-    /** @return Number that the stream event @p event carries, or nothing if it carries none. */
-    std::optional<std::int64_t> (*eventNumber)(std::string_view event);
+    /**
+     * @param place Place of the event in its stream, from 1.
+     * @return Id by which a target continues the stream after @p event; nothing if its order among
+     * the ids of the stream is not known.
+     */
+    std::optional<EventId> (*eventId)(std::string_view event, std::int64_t place);
     /** @param holder Id of the host that sends the order. */
     EncodedOrder (*encodeOrder)(const Order &order, const std::string &holder);
     /** @return Path at which a target reports its accepted orders; empty: targets do not report. */
--- a/src/net/native_edge.cpp
+++ b/src/net/native_edge.cpp
@@ -5,6 +5,7 @@
 #include "daemon/operators_port_func.h"
 #include "net/grammar_func.h"
 #include "net/http_server_base.h"
+#include "stream/stream_progress_func.h"
 #include "target/statement_func.h"
 
 #include <absl/strings/match.h>
@@ -68,8 +69,8 @@
     headers.emplace_back("X-Time-Limit-Ms", std::to_string(remaining.count()));
     headers.emplace_back("X-Priority",
                          forwarded.workClass == WorkClass::Bulk ? "bulk" : "interactive");
-    if (attempt.resumeAfter > 0)
-        headers.emplace_back("Last-Event-ID", std::to_string(attempt.resumeAfter));
+    if (const std::optional<EventId> last = continuesAfter(attempt.relayed))
+        headers.emplace_back("Last-Event-ID", last->text);
     return headers;
 }
 
@@ -102,9 +103,10 @@
     return head;
 }
 
-std::optional<std::int64_t> eventNumber(std::string_view)
+std::optional<EventId> eventId(std::string_view, std::int64_t place)
 {
-    return std::nullopt; // Events of this interface carry no numbers; the daemon counts them.
+    // Events of this interface are named by their place, whatever ids they carry.
+    return EventId{place, std::to_string(place)};
 }
 
 EncodedOrder encodeOrder(const Order &order, const std::string &holder)
@@ -140,7 +142,7 @@
                            &attemptHeaders,
                            &readAnswerHead,
                            CompletionRule::EndMarker,
-                           &eventNumber,
+                           &eventId,
                            &encodeOrder,
                            &inspectionPath,
                            &readInspection,
--- a/src/net/transfer.cpp
+++ b/src/net/transfer.cpp
@@ -4,7 +4,9 @@
 #include "call/call_func.h"
 #include "core/log_func.h"
 #include "net/completion_tokens_func.h"
+#include "net/event_stream_func.h"
 #include "net/grammar_log_func.h"
+#include "stream/stream_progress_func.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -18,8 +20,6 @@
 constexpr std::size_t MAX_PLAIN_ANSWER_BYTES = 8 << 20;
 constexpr std::size_t MAX_EVENT_BYTES = 256 << 10;
 constexpr std::size_t MAX_STREAM_BYTES = 32 << 20; ///< Bound of all events of one attempt together.
-constexpr const char *EVENT_END = "\n\n";
-constexpr const char *STREAM_END = "data: [DONE]";
 constexpr int SERVER_ERROR = 500; ///< Lowest HTTP status code of a server error.
 
 curl_slist *addHeader(curl_slist *list, const std::string &name, const std::string &value)
@@ -60,7 +60,7 @@
     , exchange(std::move(exchange))
     , edge(edge)
     , lastByteAt(now)
-    , lastRelayedEvent(attempt.resumeAfter)
+    , progress(attempt.relayed)
     , memory(std::move(memory))
 {
     this->held.attach(this->memory);
@@ -332,20 +332,16 @@
 {
     const std::size_t bufferedBytes = this->body.size();
     this->body.append(bytes);
-    // The buffered bytes contain no event end, but may hold the first byte of one.
-    const std::size_t begin = bufferedBytes > 0 ? bufferedBytes - 1 : 0;
-    std::size_t end = std::string_view(this->body).substr(begin).rfind(EVENT_END);
+    std::size_t end = endOfBlocks(this->body, bufferedBytes);
     if (end == std::string::npos)
         return true;
-    end += begin + 2;
     const std::size_t marked = this->endOfMarkedEvent();
     end = std::min(end, marked);
     const std::string_view completeEvents = std::string_view(this->body).substr(0, end);
-    this->wrongStart = this->repeatsEvents(completeEvents);
+    this->wrongStart = this->startsElsewhere(completeEvents);
     if (this->wrongStart)
         return true;
-    const bool first = this->lastRelayedEvent == 0 && this->attempt.resumeAfter == 0;
-    if (first)
+    if (!this->progress.begun)
         this->exchange->begin(this->answerLines.status, "", this->readHead().relayedHeaders, "",
                               true);
     {
@@ -366,50 +362,50 @@
     this->exchange->append(completeEvents);
     if (this->onBegan)
         std::exchange(this->onBegan, nullptr)();
-    this->lastRelayedEvent = this->lastEventNumber(completeEvents);
+    this->progress.begun = true;
+    this->countEvents(completeEvents);
     this->sawEndMarker = marked != std::string::npos;
     this->body.erase(0, this->sawEndMarker ? std::string::npos : end);
     return true;
 }
 
-/** @return Whether the first events of a resumed stream have been relayed by an earlier attempt. */
-bool Transfer::repeatsEvents(std::string_view completeEvents) const
+/** @return Whether this attempt does not go on where the caller's part of the stream ends. @p
+ * blocks are the next ones of the answer. */
+bool Transfer::startsElsewhere(std::string_view blocks) const
 {
-    const bool atStart
-        = this->attempt.resumeAfter > 0 && this->lastRelayedEvent == this->attempt.resumeAfter;
-    const std::size_t end = completeEvents.find(EVENT_END);
-    if (!atStart || end == std::string_view::npos)
+    const bool continues
+        = this->attempt.relayed.events > 0 && this->progress.events == this->attempt.relayed.events;
+    if (!continues)
         return false;
-    const std::optional<std::int64_t> number
-        = this->edge.eventNumber(completeEvents.substr(0, end));
-    return number && *number <= this->attempt.resumeAfter;
+    std::optional<bool> follows;
+    forEachBlock(blocks, [&](std::string_view block) {
+        if (!follows && isEvent(block))
+            follows
+                = mayFollow(this->progress, this->edge.eventId(block, this->progress.events + 1));
+    });
+    return !follows.value_or(true);
 }
 
-/** @return Offset in @c body just after the event with the end marker; npos if there is none. */
-std::size_t Transfer::endOfMarkedEvent() const
+/** @return The same for a last event without the empty line that ends it. */
+bool Transfer::endsElsewhere()
 {
-    if (this->edge.completionRule != CompletionRule::EndMarker)
-        return std::string::npos;
-    std::size_t marker = this->body.find(STREAM_END);
-    while (marker != std::string::npos && marker > 0 && this->body[marker - 1] != '\n')
-        marker = this->body.find(STREAM_END, marker + 1); // A marker within a line is text.
-    const std::size_t end
-        = marker == std::string::npos ? marker : this->body.find(EVENT_END, marker);
-    return end == std::string::npos ? end : end + 2;
+    return this->isStreamed() && !this->body.empty()
+        && this->startsElsewhere(absl::StrCat(this->body, "\n\n"));
 }
 
-/** @return Number of the last event in @p completeEvents: the number that the event carries, else
- * the number of the preceding event plus 1. */
-std::int64_t Transfer::lastEventNumber(std::string_view completeEvents) const
+void Transfer::countEvents(std::string_view blocks)
 {
-    std::int64_t last = this->lastRelayedEvent;
-    std::size_t begin = 0;
-    for (std::size_t end = completeEvents.find(EVENT_END); end != std::string_view::npos;
-         end = completeEvents.find(EVENT_END, begin)) {
-        last = this->edge.eventNumber(completeEvents.substr(begin, end - begin)).value_or(last + 1);
-        begin = end + 2;
-    }
-    return last;
+    forEachBlock(blocks, [this](std::string_view block) {
+        if (isEvent(block))
+            addEvent(this->progress, this->edge.eventId(block, this->progress.events + 1));
+    });
+}
+
+/** @return Offset in @c body just after the event with the end marker; npos if there is none. */
+std::size_t Transfer::endOfMarkedEvent() const
+{
+    return this->edge.completionRule == CompletionRule::EndMarker ? endOfMarkedBlock(this->body)
+                                                                  : std::string::npos;
 }
 
 /**
@@ -452,9 +448,9 @@
     if (!answer.belongsToAttempt)
         return AttemptResult::Mismatched;
     // The caller has a part of a stream already: only the rest of that stream may follow.
-    if (this->wrongStart)
+    if (this->wrongStart || this->endsElsewhere())
         return AttemptResult::InvalidResponse;
-    if (this->attempt.resumeAfter > 0 && !answer.streamed)
+    if (this->attempt.relayed.begun && !answer.streamed)
         return this->answerLines.status >= SERVER_ERROR ? AttemptResult::ServerError
                                                         : AttemptResult::InvalidResponse;
     if (code == CURLE_WRITE_ERROR && this->sawEndMarker)
@@ -477,7 +473,7 @@
 {
     if (this->isStreamed()) {
         // Each event carries one token, except the end marker.
-        ended.tokens = std::max<std::int64_t>(this->lastRelayedEvent - 1, 0);
+        ended.tokens = this->progress.events - (this->sawEndMarker ? 1 : 0);
         return;
     }
     if (!absl::StartsWith(headerValue(this->readHead().relayedHeaders, "Content-Type"),
@@ -502,7 +498,7 @@
         ended.result = AttemptResult::Cancelled;
     ended.status = this->answerLines.status;
     ended.bound = this->bound;
-    ended.eventsRelayed = this->lastRelayedEvent;
+    ended.relayed = this->progress;
     ended.connectionLost = ended.result == AttemptResult::Lost && code != CURLE_OPERATION_TIMEDOUT;
     const bool failed = this->answerLines.status >= SERVER_ERROR && this->attempt.holdFailures;
     if (ended.result == AttemptResult::Answered && failed)
@@ -527,8 +523,7 @@
 /** Relays the bytes after the last complete event and ends the caller's stream. */
 void Transfer::finishStream()
 {
-    const bool nothingRelayed = this->lastRelayedEvent == 0 && this->attempt.resumeAfter == 0;
-    if (nothingRelayed)
+    if (!this->progress.begun)
         this->exchange->begin(this->answerLines.status, "", this->readHead().relayedHeaders, "",
                               true);
     this->held.set(0);
--- a/src/net/transfer_base.h
+++ b/src/net/transfer_base.h
@@ -103,8 +103,9 @@
     const AnswerHead &readHead();
     void reportStatement();
     bool isStreamed() { return this->readHead().streamed; }
-    std::int64_t lastEventNumber(std::string_view completeEvents) const;
-    bool repeatsEvents(std::string_view completeEvents) const;
+    bool startsElsewhere(std::string_view blocks) const;
+    bool endsElsewhere();
+    void countEvents(std::string_view blocks);
     void setBody();
     void finishStream();
     AttemptResult classify(CURLcode code);
@@ -122,13 +123,12 @@
     AnswerLines answerLines; ///< Status line and headers of the target's answer.
     std::optional<AnswerHead> head;
     TimePoint sentAt; ///< Time at which the connection was ready for the request.
-    bool wrongStart = false; ///< A resumed stream began with events that were relayed already.
+    bool wrongStart = false; ///< A resumed stream did not go on where the caller's part ends.
     bool sawEndMarker = false; ///< The stream's end marker was received; later bytes are dropped.
     ResponseLimit bound = ResponseLimit::None; ///< Bound that the answer exceeded.
     std::size_t headBytes = 0; ///< Bytes of all header lines so far.
     std::size_t streamBytes = 0; ///< Bytes of the streamed body accepted so far.
-    /** Number of the last relayed event, counted over all attempts of the stream. */
-    std::int64_t lastRelayedEvent = 0;
+    StreamProgress progress; ///< What the caller has of the stream, over all attempts.
     std::string body; ///< Body of a plain answer, or the incomplete last event of a stream.
     std::shared_ptr<AnswerMemory> memory;
     HeldBytes held; ///< Counts head and body.
--- a/src/tests/answer_fault_test.cpp
+++ b/src/tests/answer_fault_test.cpp
@@ -3,6 +3,7 @@
 #include "net/native_edge_func.h"
 #include "net/target_client_base.h"
 #include "platform/edge_func.h"
+#include "stream/stream_progress_func.h"
 
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
@@ -165,7 +166,8 @@
         attempt.deadline = now + REQUEST_TIMEOUT;
         attempt.sendBy = now + REQUEST_TIMEOUT;
         attempt.firstByteLimit = attempt.interByteLimit = REQUEST_TIMEOUT;
-        attempt.resumeAfter = resumeAfter;
+        for (std::int64_t i = 1; i <= resumeAfter; ++i)
+            addEvent(attempt.relayed, EventId{i, std::to_string(i)});
         cr_assert(this->client.start(attempt));
     }
 
--- a/src/tests/endless_answer_test.cpp
+++ b/src/tests/endless_answer_test.cpp
@@ -572,7 +572,7 @@
         cr_expect_eq(ended->result == AttemptResult::Answered, item.complete, "rest \"%s\"",
                      item.rest.c_str());
         cr_expect_eq(looksComplete(*exchange), item.complete, "rest \"%s\"", item.rest.c_str());
-        cr_expect_eq(ended->eventsRelayed, 2, "a resumed stream continues after the last event");
+        cr_expect_eq(ended->relayed.events, 2, "a resumed stream continues after the last event");
         absl::MutexLock lock(&exchange->mutex);
         cr_expect_eq(exchange->buffer, events);
     }
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -156,8 +156,8 @@
 
 Test(platform, event_numbers_are_read_from_id_lines)
 {
-    cr_assert_eq(*platformEdge().eventNumber("id: 12\ndata: x"), 12);
-    cr_assert_not(platformEdge().eventNumber("data: id: 3"));
+    cr_assert(platformEdge().eventId("id: 12\ndata: x", 1) == (EventId{12, "12"}));
+    cr_assert_not(platformEdge().eventId("data: id: 3", 1));
 }
 
 Test(platform, heartbeats_are_decoded_and_invalid_ones_are_rejected)
--- a/src/tests/stream_version_test.cpp
+++ b/src/tests/stream_version_test.cpp
@@ -1,6 +1,7 @@
 /** @file stream_version_test.cpp Streams of targets with several software versions. */
 #include "replay/decision_simulation_base.h"
 #include "stream/stream_func.h"
+#include "stream/stream_progress_func.h"
 
 #include <random>
 #include <set>
@@ -150,7 +151,11 @@
         const bool breaks = std::uniform_real_distribution<>(0, 1)(this->random) < this->breakShare;
         ended.result = breaks ? AttemptResult::Lost : AttemptResult::Answered;
         ended.status = 200;
-        ended.eventsRelayed = attempt.resumeAfter + EVENTS_OF_ATTEMPT;
+        ended.relayed = attempt.relayed;
+        for (int i = 0; i < EVENTS_OF_ATTEMPT; ++i) {
+            const std::int64_t number = ended.relayed.events + 1;
+            addEvent(ended.relayed, EventId{number, std::to_string(number)});
+        }
         return ended;
     }
 
