Fix: [Net] A caller that leaves is noticed in every state of its request

Cause: the list of sockets that are watched held only requests without an answer; a begun stream that is silent (between attempts, waiting for a place, paused by its target, with a full buffer) is suspended, and nobody looked at its connection.

One list now holds each request until its connection is done with it; only a whole answer is exempt, which is still delivered. The same list lets the server resume suspended connections before it stops: with one left the HTTP library ended the process.

--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -33,11 +33,19 @@
 constexpr unsigned IDLE_TIMEOUT_SECONDS = 20;
 constexpr Duration UPLOAD_TIMEOUT = 30s; ///< For the complete body; slower uploads are aborted.
 constexpr std::size_t MAX_LOGGED_ID_BYTES = 256;
+constexpr int STATUS_CLIENT_CLOSED = 499; ///< Status of a request without a caller, for the log.
 /** Status line and the fields that libmicrohttpd adds to the head of an answer. */
 constexpr std::size_t OWN_FIELDS_BYTES = 512;
 /** Time without bytes after which the connection of a refused body is closed. */
 constexpr unsigned REFUSED_TIMEOUT_SECONDS = 2;
 
+/** Ends what the connection waits for, and so resumes it. */
+void breakOff(Exchange &exchange)
+{
+    if (!exchange.begin(STATUS_CLIENT_CLOSED, "", {}, "", false))
+        exchange.end(true);
+}
+
 /** @return The bytes of @p answer as the last one on a connection. */
 std::string lastAnswer(const EncodedAnswer &answer)
 {
@@ -296,8 +304,8 @@
             this->suspend(*context.exchange, connection);
         }
         {
-            absl::MutexLock lock(&this->waitingMutex);
-            this->waiting[id] = context.socket;
+            absl::MutexLock lock(&this->openMutex);
+            this->openRequests[id] = context.socket;
         }
         const bool accepted = !parsed.refusal && this->onEvent(std::move(parsed.event));
         if (!accepted)
@@ -320,10 +328,6 @@
         Exchange &exchange = *context.exchange;
         if (context.direct)
             return MHD_NO; // The answer has been written, or its caller has left.
-        {
-            absl::MutexLock lock(&this->waitingMutex);
-            this->waiting.erase(exchange.id);
-        }
         absl::MutexLock lock(&exchange.mutex);
         if (!exchange.begun) {
             this->suspend(exchange, connection);
@@ -397,8 +401,8 @@
     void releaseExchange(Exchange &exchange)
     {
         {
-            absl::MutexLock lock(&this->waitingMutex);
-            this->waiting.erase(exchange.id);
+            absl::MutexLock lock(&this->openMutex);
+            this->openRequests.erase(exchange.id);
         }
         bool answerEnded = false;
         {
@@ -425,6 +429,9 @@
         *state = &server.connections->add(connection, socket, MonotonicClock::now());
     }
 
+    void endDisconnected(RequestId id);
+    void releaseSuspended();
+
     explicit Impl(const Edge &edge)
         : edge(edge)
     {
@@ -446,9 +453,10 @@
     int port = 0;
     std::atomic<std::uint64_t> lastRequest{0};
     std::atomic<bool> closeAfterAnswer{false};
-    absl::Mutex waitingMutex;
-    std::map<RequestId, int>
-        waiting ABSL_GUARDED_BY(waitingMutex); ///< Sockets of requests without an answer yet.
+    absl::Mutex openMutex;
+    /** Sockets of all requests whose connection still serves them, in whatever state they are; a
+     * caller that was seen to leave is not listed. */
+    std::map<RequestId, int> openRequests ABSL_GUARDED_BY(openMutex);
 };
 
 CallerServer::CallerServer(std::unique_ptr<Impl> impl)
@@ -503,13 +511,47 @@
     return boost::outcome_v2::success();
 }
 
+/** Ends a request whose caller has left, unless its answer is whole already: that one is delivered,
+ * as the caller may have closed its sending side alone. */
+void CallerServer::Impl::endDisconnected(RequestId id)
+{
+    const std::shared_ptr<Exchange> exchange = this->exchanges->find(id);
+    if (!exchange || exchange->hasEnded())
+        return;
+    {
+        absl::MutexLock lock(&this->openMutex);
+        if (this->openRequests.erase(id) == 0)
+            return; // Its connection ended meanwhile, and the socket may be another one's.
+    }
+    this->onEvent(CallerDisconnected{id});
+    breakOff(*exchange); // libmicrohttpd then detects the disconnect and cleans up.
+}
+
+/** Resumes all connections that wait for bytes of an answer: libmicrohttpd ends the process if it
+ * is stopped while one is suspended. */
+void CallerServer::Impl::releaseSuspended()
+{
+    std::vector<RequestId> ids;
+    {
+        absl::MutexLock lock(&this->openMutex);
+        for (const auto &[id, socket] : this->openRequests)
+            ids.push_back(id);
+    }
+    for (const RequestId id : ids) {
+        if (const std::shared_ptr<Exchange> exchange = this->exchanges->find(id))
+            breakOff(*exchange);
+    }
+}
+
 void CallerServer::detectDisconnectedCallers()
 {
     std::vector<RequestId> ids;
     std::vector<pollfd> sockets;
     {
-        absl::MutexLock lock(&this->impl->waitingMutex);
-        for (const auto &[id, socket] : this->impl->waiting) {
+        absl::MutexLock lock(&this->impl->openMutex);
+        ids.reserve(this->impl->openRequests.size());
+        sockets.reserve(this->impl->openRequests.size());
+        for (const auto &[id, socket] : this->impl->openRequests) {
             ids.push_back(id);
             sockets.push_back({socket, POLLRDHUP, 0});
         }
@@ -517,18 +559,8 @@
     if (sockets.empty() || ::poll(sockets.data(), sockets.size(), 0) <= 0)
         return;
     for (std::size_t i = 0; i < sockets.size(); ++i) {
-        if ((sockets[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0)
-            continue;
-        const std::shared_ptr<Exchange> exchange = this->impl->exchanges->find(ids[i]);
-        if (!exchange)
-            continue;
-        {
-            absl::MutexLock lock(&this->impl->waitingMutex);
-            this->impl->waiting.erase(ids[i]);
-        }
-        this->impl->onEvent(CallerDisconnected{ids[i]});
-        // Resume the connection: libmicrohttpd then detects the disconnect and cleans up.
-        exchange->begin(499, "", {}, "", false);
+        if ((sockets[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+            this->impl->endDisconnected(ids[i]);
     }
 }
 
@@ -569,6 +601,7 @@
     if (this->impl->daemon == nullptr)
         return;
     this->impl->delivery.stop();
+    this->impl->releaseSuspended();
     MHD_stop_daemon(this->impl->daemon);
     this->impl->daemon = nullptr;
 }
--- a/src/net/caller_server_base.h
+++ b/src/net/caller_server_base.h
@@ -37,8 +37,8 @@
     /** Starts accepting connections. @return Errc::AddressInUse if listening fails. */
     Result<void> open();
 
-    /** Detects callers that closed their connection before their answer began, since a suspended
-     * connection is not polled by libmicrohttpd. Must be called periodically. */
+    /** Detects callers that closed their connection, or their sending side, before their answer was
+     * whole: a suspended connection is not polled by libmicrohttpd. Must be called periodically. */
     void detectDisconnectedCallers();
 
     /** Sets the largest head of a request; 0: the default. May be called on any thread. */
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -28,6 +28,12 @@
     return this->begun;
 }
 
+bool Exchange::hasEnded()
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->ended;
+}
+
 void Exchange::countHeld()
 {
     this->held.set(this->headBytes + this->buffer.size());
--- a/src/net/exchange_base.h
+++ b/src/net/exchange_base.h
@@ -71,6 +71,9 @@
     /** @return Whether status and headers are set. */
     bool hasBegun();
 
+    /** @return Whether the answer is whole, or was broken off. */
+    bool hasEnded();
+
     /** Counts the bytes that the answer holds; whoever changes the buffer calls it. */
     void countHeld() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
--- a/src/replay/decision_simulation.cpp
+++ b/src/replay/decision_simulation.cpp
@@ -136,6 +136,11 @@
     return id;
 }
 
+void DecisionSimulation::disconnect(int host, RequestId request)
+{
+    this->stepHost(host, CallerDisconnected{request});
+}
+
 void DecisionSimulation::resume(int host)
 {
     SimulatedHost &resumed = this->hosts[static_cast<std::size_t>(host)];
--- a/src/replay/decision_simulation_base.h
+++ b/src/replay/decision_simulation_base.h
@@ -85,6 +85,9 @@
     /** Schedules a request to a host at time @p at. @return Id of the request. */
     RequestId send(int host, CallerRequest request, TimePoint at);
 
+    /** The caller of a request closes its connection now. */
+    void disconnect(int host, RequestId request);
+
     /**
      * Sends an operator request to the leader through a host.
      * @param timeLimit Time that the operator waits for the answer.
