Codechange: [Core] JSON functions of structs are compiled where they are used

Cause: before 3.11.3 the JSON library's macros define ordinary inline functions, so each source that includes a struct compiles the conversion of all its members, used or not. A bare compiler run of host/stream_cmd.cpp spent 15.3 of 16.5 s and 1.1 GB before any code was generated. Change: the same macros define templates, as later versions of the library do.

--- a/src/bench/leader_load_base.h
+++ b/src/bench/leader_load_base.h
@@ -1,7 +1,7 @@
 /** @file leader_load_base.h Measures the load that many hosts put on the leader. */
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include "core/json_func.h"
 
 namespace bilberry {
 
--- a/src/bench/shared_limits_base.h
+++ b/src/bench/shared_limits_base.h
@@ -1,7 +1,7 @@
 /** @file shared_limits_base.h Compares fairness and rate limits over all hosts with baselines. */
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include "core/json_func.h"
 
 namespace bilberry {
 
--- a/src/config/field_reader_base.h
+++ b/src/config/field_reader_base.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "config/config_type.h"
+#include "core/json_func.h"
 
-#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
--- a/src/core/codec_func.h
+++ b/src/core/codec_func.h
@@ -3,9 +3,9 @@
 
 #include "core/error_type.h"
 #include "core/ids_type.h"
+#include "core/json_func.h"
 
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -2,7 +2,8 @@
  * dropped when the queue of the writing thread is full. */
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include "core/json_func.h"
+
 #include <string>
 
 namespace bilberry {
--- a/src/core/strong_type.h
+++ b/src/core/strong_type.h
@@ -1,9 +1,10 @@
 /** @file strong_type.h Wrapper that makes a distinct type of each kind of identifier. */
 #pragma once
 
+#include "core/json_func.h"
+
 #include <compare>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -2,9 +2,10 @@
  * decision code gets the time as an argument, so that it can be replayed. */
 #pragma once
 
+#include "core/json_func.h"
+
 #include <chrono>
 #include <ctime>
-#include <nlohmann/json.hpp>
 
 namespace bilberry {
 
--- a/src/ctl/explain_func.h
+++ b/src/ctl/explain_func.h
@@ -2,9 +2,10 @@
  * from the logs of several processes. */
 #pragma once
 
+#include "core/json_func.h"
+
 #include <cstdint>
 #include <istream>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
--- a/src/net/completion_tokens.cpp
+++ b/src/net/completion_tokens.cpp
@@ -1,8 +1,7 @@
 /** @file completion_tokens.cpp Number of generated tokens that a target's answer states. */
+#include "core/json_func.h"
 #include "net/completion_tokens_func.h"
 
-#include <nlohmann/json.hpp>
-
 namespace bilberry {
 
 namespace {
--- a/src/net/grammar_type.h
+++ b/src/net/grammar_type.h
@@ -2,7 +2,8 @@
  * break. */
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include "core/json_func.h"
+
 #include <string>
 
 namespace bilberry {
--- a/src/placement/unmet_need_type.h
+++ b/src/placement/unmet_need_type.h
@@ -2,10 +2,9 @@
 #pragma once
 
 #include "core/ids_type.h"
+#include "core/json_func.h"
 #include "core/time_type.h"
 
-#include <nlohmann/json.hpp>
-
 #include <map>
 #include <vector>
 
