Fix: [Control] [Host] One configuration at a time is written, and none that nobody waits for

The leader proposes the highest configuration that is asked for once the one before is applied; what it overtakes is acknowledged when it is in force. Calls bear the time that their host still waits. Waiting calls have a bound in bytes.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -22,6 +22,14 @@
 
 } // namespace
 
+std::size_t logBytes(const LogReplica &replica)
+{
+    std::size_t bytes = 0;
+    for (const LogEntry &entry : replica.log)
+        bytes += entrySize(entry);
+    return bytes;
+}
+
 Term lastTerm(const LogReplica &replica)
 {
     return replica.log.empty() ? replica.latestSnapshot.term : replica.log.back().term;
--- a/src/consensus/replica_func.h
+++ b/src/consensus/replica_func.h
@@ -93,6 +93,9 @@
 /** @return Whether compact() is due, by the number or the size of the applied entries. */
 bool isCompactionDue(const LogReplica &replica);
 
+/** @return Bytes of the log entries after the latest snapshot. */
+std::size_t logBytes(const LogReplica &replica);
+
 /**
  * @return Whether @p predicate holds for a majority of the voters and, if the membership is joint,
  *         also for a majority of the outgoing voters.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -207,9 +207,19 @@
         effects.toHosts.push_back({query.holder, NotLeader{leaderAddress(control)}});
 }
 
-void onHostMessage(Control &control, const HostMessage &message, ControlEffects &effects,
+CallArrival arrivalOf(const HostMessageEvent &event, const OperatorCall &call, TimePoint now)
+{
+    CallArrival arrival{TimePoint::max(), event.room};
+    const TimePoint receivedAt = event.receivedAt == TimePoint{} ? now : event.receivedAt;
+    if (call.timeLeftMs)
+        arrival.expires = receivedAt + std::chrono::milliseconds(*call.timeLeftMs);
+    return arrival;
+}
+
+void onHostMessage(Control &control, const HostMessageEvent &event, ControlEffects &effects,
                    TimePoint now)
 {
+    const HostMessage &message = event.message;
     if (!control.leadership || !isActiveLeader(control.replica, now)) {
         const HolderId holder = std::visit([](const auto &m) { return m.holder; }, message);
         effects.toHosts.push_back({holder, NotLeader{leaderAddress(control)}});
@@ -223,8 +233,8 @@
         onCallReport(control, *callReport, effects, now);
     else if (const auto *streamQuery = std::get_if<StreamQuery>(&message))
         onStreamQuery(control, *streamQuery, effects, now);
-    else
-        onOperatorCall(control, std::get<OperatorCall>(message), effects, now);
+    else if (const auto *call = std::get_if<OperatorCall>(&message))
+        onOperatorCall(control, *call, arrivalOf(event, *call, now), effects, now);
 }
 
 /**
@@ -474,7 +484,7 @@
         applyReplicaEffects(control, receive(control.replica, message->from, message->message, now),
                             effects, now);
     else if (const auto *host = std::get_if<HostMessageEvent>(&event))
-        onHostMessage(control, host->message, effects, now);
+        onHostMessage(control, *host, effects, now);
     else if (const auto *written = std::get_if<SyncedEvent>(&event))
         applyReplicaEffects(control, synced(control.replica, written->index, written->term, now),
                             effects, now);
@@ -490,6 +500,7 @@
         onDutyReply(control, *reply, effects, now);
     else
         applyReplicaEffects(control, transferLeadership(control.replica), effects, now);
+    continueConfigs(control, effects, now);
     return effects;
 }
 
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -7,6 +7,7 @@
 #include "account/leased_pool_base.h"
 #include "account/wait_estimate_base.h"
 #include "consensus/replica_base.h"
+#include "control/config_intake_base.h"
 #include "control/control_type.h"
 #include "duty/call_pacer_base.h"
 #include "duty/target_count_base.h"
@@ -263,6 +264,7 @@
     std::map<HostId, HostEntry> hosts;
     HostRanks hostRanks;
     std::map<LogIndex, PendingCommand> pending; ///< By index of the proposed entry.
+    ConfigIntake configs;
     std::map<CallId, std::vector<std::pair<HolderId, RequestId>>>
         joined; ///< Requests that wait for the outcome of a running call.
     std::map<Digest, CrashRecord> crashRecords;
--- a/src/control/control_inbox.cpp
+++ b/src/control/control_inbox.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-void enqueueOperatorCall(ControlInbox &inbox, OperatorCall call)
+void enqueueOperatorCall(ControlInbox &inbox, HostMessageEvent event)
 {
+    const auto &call = std::get<OperatorCall>(event.message);
     const bool resent = std::any_of(inbox.operatorCalls.begin(), inbox.operatorCalls.end(),
-                                    [&](const OperatorCall &queued) {
+                                    [&](const HostMessageEvent &waiting) {
+                                        const auto &queued
+                                            = std::get<OperatorCall>(waiting.message);
                                         return queued.holder == call.holder && queued.id == call.id;
                                     });
     if (resent)
@@ -21,7 +24,7 @@
         ++inbox.dropped;
         return;
     }
-    inbox.operatorCalls.push_back(std::move(call));
+    inbox.operatorCalls.push_back(std::move(event));
 }
 
 /** Replaces the queued report of the same host at its place. @return False if there is none. */
@@ -74,8 +77,8 @@
     auto *host = std::get_if<HostMessageEvent>(&event);
     if (host == nullptr)
         inbox.priority.push_back(std::move(event));
-    else if (auto *call = std::get_if<OperatorCall>(&host->message))
-        enqueueOperatorCall(inbox, std::move(*call));
+    else if (std::holds_alternative<OperatorCall>(host->message))
+        enqueueOperatorCall(inbox, std::move(*host));
     else
         enqueueHostMessage(inbox, std::move(host->message));
 }
@@ -88,13 +91,13 @@
         return event;
     }
     if (!inbox.operatorCalls.empty()) {
-        HostMessageEvent event{std::move(inbox.operatorCalls.front())};
+        HostMessageEvent event = std::move(inbox.operatorCalls.front());
         inbox.operatorCalls.pop_front();
         return event;
     }
     if (inbox.hostMessages.empty())
         return std::nullopt;
-    return HostMessageEvent{popHostMessage(inbox)};
+    return HostMessageEvent{popHostMessage(inbox), {}, {}};
 }
 
 } // namespace bilberry
--- a/src/control/control_inbox_base.h
+++ b/src/control/control_inbox_base.h
@@ -25,7 +25,7 @@
 struct ControlInbox
 {
     std::deque<ControlEvent> priority; ///< All events but messages of hosts.
-    std::deque<OperatorCall> operatorCalls;
+    std::deque<HostMessageEvent> operatorCalls; ///< Each with an OperatorCall.
     std::list<HostMessage> hostMessages; ///< All messages of hosts but operators' calls.
     std::map<HolderId, std::list<HostMessage>::iterator>
         reports; ///< Report in @c hostMessages of each host; at most one.
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -152,9 +152,25 @@
  */
 void quarantineSuspects(Control &control, ControlEffects &effects, TimePoint now);
 
-/** Handles an operator's request; the answer is sent at once or when the command is applied. */
-void onOperatorCall(Control &control, const OperatorCall &call, ControlEffects &effects,
-                    TimePoint now);
+/** What the leader knows of the arrival of a call. */
+struct CallArrival
+{
+    TimePoint expires; ///< Nobody waits for the answer from then on.
+    std::shared_ptr<const HeldRoom> room; ///< That the call takes; may be null.
+};
+
+/** Takes in a configuration. It is acknowledged once it or a newer one is in force. */
+void takeInConfig(Control &control, const OperatorCall &call, const ReplaceConfig &config,
+                  const CallArrival &arrival, ControlEffects &effects, TimePoint now);
+
+/** Acknowledges configurations that are in force, and writes the newest that somebody waits for
+ * once the one before is applied. Called after each event. */
+void continueConfigs(Control &control, ControlEffects &effects, TimePoint now);
+
+/** Handles an operator's request; the answer is sent at once or when the command is applied. A
+ * request that nobody waits for any more is dropped. */
+void onOperatorCall(Control &control, const OperatorCall &call, const CallArrival &arrival,
+                    ControlEffects &effects, TimePoint now);
 
 /** Sends due orders and, when a placement pass is due, proposes its decision. */
 void runPlacement(Control &control, ControlEffects &effects, TimePoint now);
--- a/src/control/control_type.h
+++ b/src/control/control_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "consensus/replica_type.h"
+#include "core/byte_budget_base.h"
 #include "duty/duty_type.h"
 #include "link/link_type.h"
 #include "placement/planner_func.h"
@@ -21,6 +22,10 @@
 struct HostMessageEvent
 {
     HostMessage message;
+    /** Time at which this process received it; epoch: the time at which it is handled. */
+    TimePoint receivedAt{};
+    /** Room that the message takes; only for calls of operators. */
+    std::shared_ptr<const HeldRoom> room{};
 };
 
 /** All log entries up to @c index, the last one of @c term, are synced to the local disk. */
--- a/src/control/operator_cmd.cpp
+++ b/src/control/operator_cmd.cpp
@@ -239,9 +239,16 @@
     return out;
 }
 
-void onOperatorCall(Control &control, const OperatorCall &call, ControlEffects &effects,
-                    TimePoint now)
+void onOperatorCall(Control &control, const OperatorCall &call, const CallArrival &arrival,
+                    ControlEffects &effects, TimePoint now)
 {
+    if (now >= arrival.expires) {
+        effects.logEvents.push_back({"operatorCallExpired",
+                                     {{"host", call.holder.host},
+                                      {"call", call.id},
+                                      {"lateMs", toMilliseconds(now - arrival.expires)}}});
+        return;
+    }
     if (call.asksForBase) {
         const ChangeBase base
             = std::visit([&](const auto &body) { return baseOf(control, body); }, call.body);
@@ -262,6 +269,9 @@
                 changeMember(control, call, body, effects, now);
             else if constexpr (std::is_same_v<Body, RecordTargetShutdown>)
                 submit(control, call, resolveShutdown(control, body), effects, now);
+            else if constexpr (std::is_same_v<Body, ReplaceConfig>)
+                call.dryRun ? answerDryRun(control, call, body, effects, now)
+                            : takeInConfig(control, call, body, arrival, effects, now);
             else
                 submit(control, call, body, effects, now);
         },
--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -16,6 +16,11 @@
 
 constexpr std::size_t QUEUE_CAPACITY = 65'536;
 constexpr Duration TICK_INTERVAL = 10ms; ///< Interval of ControlTickEvent.
+constexpr Duration MEMORY_LOG_INTERVAL = 500ms; ///< Of "controlMemory"; one line at most.
+constexpr std::size_t BYTES_PER_MB = 1 << 20;
+/** Part of the memory for calls of operators that wait, as received. Decoded, one takes about ten
+ * times its bytes for a moment. */
+constexpr std::size_t CALL_ROOM_DIVISOR = 16;
 constexpr Duration JOURNAL_RETRY_DELAY = 500ms; ///< Delay before a failed write is repeated.
 
 std::uint64_t randomSeed()
@@ -84,6 +89,7 @@
     : settings(settings)
     , orders(std::move(orders))
     , tasks(QUEUE_CAPACITY)
+    , callRoom(settings.memoryMb * BYTES_PER_MB / CALL_ROOM_DIVISOR)
     , writes(QUEUE_CAPACITY)
 {
 }
@@ -118,9 +124,10 @@
     runner->control.tuning.orderSeparation = settings.orderSeparation;
     runner->control.duties = toDutySettings(settings);
     ControlRunner *self = runner.get();
-    BOOST_OUTCOME_TRY(server, PeerServer::start(settings.peers, [self](PeerFrame &&frame) {
-                          return self->handleFrame(std::move(frame));
-                      }));
+    BOOST_OUTCOME_TRY(
+        server, PeerServer::start(settings.peers, [self](PeerFrame &&frame, std::size_t bytes) {
+            return self->handleFrame(std::move(frame), bytes);
+        }));
     runner->server = std::move(server);
     runner->decisionThread = std::thread([self]() { self->runDecisions(); });
     runner->journalThread = std::thread([self]() { self->runJournal(); });
@@ -149,7 +156,7 @@
     return this->tasks.tryPush(Task(std::move(event)));
 }
 
-bool ControlRunner::handleFrame(PeerFrame &&frame)
+bool ControlRunner::handleFrame(PeerFrame &&frame, std::size_t bytes)
 {
     if (auto *member = std::get_if<MemberFrame>(&frame)) {
         if (member->to != this->memberId)
@@ -160,9 +167,29 @@
         }
         return this->post(ReplicaMessageEvent{member->from, std::move(member->message)});
     }
-    if (auto *message = std::get_if<HostMessage>(&frame))
-        return this->post(HostMessageEvent{std::move(*message)});
-    return true;
+    auto *message = std::get_if<HostMessage>(&frame);
+    if (message == nullptr)
+        return true;
+    HostMessageEvent event{std::move(*message), MonotonicClock::now(), {}};
+    if (const auto *call = std::get_if<OperatorCall>(&event.message)) {
+        event.room = this->callRoom.tryTake(bytes);
+        if (!event.room)
+            return this->refuseCall(*call, bytes);
+    }
+    return this->post(std::move(event));
+}
+
+bool ControlRunner::refuseCall(const OperatorCall &call, std::size_t bytes)
+{
+    logEventRateLimited("operatorCallRefused",
+                        {{"host", call.holder.host},
+                         {"bytes", bytes},
+                         {"held", this->callRoom.held()},
+                         {"limit", this->callRoom.limit}});
+    const OutgoingControlMessage answer{call.holder, OperatorAnswer{call.id, Errc::QueueFull, {}}};
+    return this->tasks.tryPush(Task(StateQuery([this, answer](const Control &) {
+        this->server->sendToHost(answer.holder, answer.message);
+    })));
 }
 
 nlohmann::json ControlRunner::dumpState()
@@ -182,8 +209,8 @@
 {
     auto result = std::make_shared<std::string>();
     auto done = std::make_shared<absl::Notification>();
-    const bool posted = this->tasks.tryPush(Task(StateQuery([result, done](const Control &control) {
-        *result = formatPlacementMetrics(control);
+    const bool posted = this->tasks.tryPush(Task(StateQuery([=, this](const Control &control) {
+        *result = formatPlacementMetrics(control) + formatMetrics(this->readMemory());
         if (control.duties.reportsUsage || control.duties.ordersTargets)
             *result += formatDutyMetrics(control, MonotonicClock::now());
         done->Notify();
@@ -206,6 +233,7 @@
             continue;
         tickDue = now + TICK_INTERVAL;
         this->handle(ControlTickEvent{});
+        this->logMemoryIfDue(now);
         if (this->isLeader())
             logDecisionLoad(this->load, this->inbox.hostMessages.size(), now);
         absl::MutexLock lock(&this->linksMutex);
@@ -254,6 +282,31 @@
     return out;
 }
 
+ControlMemory ControlRunner::readMemory()
+{
+    ControlMemory memory;
+    memory.operatorCalls = this->callRoom.held();
+    memory.callLimit = this->callRoom.limit;
+    memory.log = logBytes(this->control.replica);
+    memory.snapshot = this->control.replica.latestSnapshot.state.size();
+    memory.hostFrames = this->server->queuedBytes();
+    memory.process = readProcessMemory();
+    absl::MutexLock lock(&this->linksMutex);
+    for (const auto &[address, link] : this->links)
+        memory.memberFrames[address] = link->queuedBytes();
+    return memory;
+}
+
+/** Logs what the memory holds while the process has more than half of what its machine allows. */
+void ControlRunner::logMemoryIfDue(TimePoint now)
+{
+    if (this->settings.memoryMb == 0 || now < this->memoryLoggedAt + MEMORY_LOG_INTERVAL)
+        return;
+    this->memoryLoggedAt = now;
+    if (readProcessMemory().resident > this->settings.memoryMb * BYTES_PER_MB / 2)
+        logEventRateLimited("controlMemory", toLogFields(this->readMemory()));
+}
+
 void ControlRunner::handle(const ControlEvent &event)
 {
     if (const auto *reply = std::get_if<DutyReplyEvent>(&event))
--- a/src/daemon/control_runner_base.h
+++ b/src/daemon/control_runner_base.h
@@ -5,6 +5,7 @@
 #include "config/settings_type.h"
 #include "control/control_inbox_base.h"
 #include "core/bounded_queue.h"
+#include "daemon/control_memory_base.h"
 #include "daemon/decision_load_base.h"
 #include "journal/journal_base.h"
 #include "net/peer_client_base.h"
@@ -81,7 +82,12 @@
     ControlRunner(const Settings &settings, OrderChannel orders);
 
     /** Queues the message in a frame of a peer. @return False if the queue is full or closed. */
-    bool handleFrame(PeerFrame &&frame);
+    bool handleFrame(PeerFrame &&frame, std::size_t bytes);
+    /** Answers a call that finds no room. @return False if the queue is full or closed. */
+    bool refuseCall(const OperatorCall &call, std::size_t bytes);
+    /** Must be called on the decision thread. */
+    ControlMemory readMemory();
+    void logMemoryIfDue(TimePoint now);
     /** @return Counters of the calls to the infrastructure, by their replies. */
     std::string formatCallCounters() const;
     void runDecisions();
@@ -105,9 +111,11 @@
     std::unique_ptr<Journal> journal;
     std::unique_ptr<PeerServer> server;
     BoundedQueue<Task> tasks; ///< For the decision thread.
+    ByteBudget callRoom; ///< For calls of operators, from their arrival to their decision.
     BoundedQueue<JournalWrite> writes; ///< For the journal thread.
     Control control; ///< Accessed only by the decision thread.
     ControlInbox inbox; ///< Accessed only by the decision thread.
+    TimePoint memoryLoggedAt; ///< Accessed only by the decision thread.
     DecisionLoad load; ///< Accessed only by the decision thread.
     std::uint64_t lastLoggedDrops = 0; ///< Value of inbox.dropped that was logged last.
     absl::Mutex linksMutex; ///< Guards the links and addresses, as both threads send.
--- a/src/host/host_internal.h
+++ b/src/host/host_internal.h
@@ -68,7 +68,7 @@
 /** Drops the requests that have reached their deadline. */
 void expireOperatorRequests(Host &host, HostEffects &effects, TimePoint now);
 /** Sends again what the leader has not answered. */
-void resendOperatorRequests(const Host &host, HostEffects &effects);
+void resendOperatorRequests(const Host &host, HostEffects &effects, TimePoint now);
 
 // Dispatch.
 /** Dispatches queued requests to targets as long as slots are free. */
--- a/src/host/link_cmd.cpp
+++ b/src/host/link_cmd.cpp
@@ -301,7 +301,7 @@
     host.resendDue = now + RESEND_INTERVAL;
     for (const auto &[id, report] : host.callReports)
         effects.push_back(SendControl{report});
-    resendOperatorRequests(host, effects);
+    resendOperatorRequests(host, effects, now);
     for (const auto &[id, request] : host.requests) {
         const bool open = request.state == RequestState::WaitingForVerdict
             || request.state == RequestState::Joined;
--- a/src/host/operator_cmd.cpp
+++ b/src/host/operator_cmd.cpp
@@ -58,29 +58,38 @@
         body);
 }
 
+/** Sends the message of the request's present step, with the time that the host still waits. */
+void sendCall(const PendingOperatorRequest &pending, HostEffects &effects, TimePoint now)
+{
+    OperatorCall call = pending.call;
+    if (pending.deadline != TimePoint::max())
+        call.timeLeftMs = std::max<std::int64_t>(toMilliseconds(pending.deadline - now), 0);
+    effects.push_back(SendControl{std::move(call)});
+}
+
 /** Sends the message of the request's present step, under a new id: an answer to an earlier step
  * that arrives late has another one. */
-void sendStep(Host &host, PendingOperatorRequest &pending, HostEffects &effects)
+void sendStep(Host &host, PendingOperatorRequest &pending, HostEffects &effects, TimePoint now)
 {
     pending.call.id = ++host.lastOperatorCall;
-    effects.push_back(SendControl{pending.call});
+    sendCall(pending, effects, now);
 }
 
-void askForBase(Host &host, PendingOperatorRequest &pending, HostEffects &effects)
+void askForBase(Host &host, PendingOperatorRequest &pending, HostEffects &effects, TimePoint now)
 {
     pending.step = OperatorStep::AskingForBase;
     pending.call.dryRun = true;
     pending.call.asksForBase = true;
     pending.call.base.reset();
-    sendStep(host, pending, effects);
+    sendStep(host, pending, effects, now);
 }
 
-void sendRequest(Host &host, PendingOperatorRequest &pending, HostEffects &effects)
+void sendRequest(Host &host, PendingOperatorRequest &pending, HostEffects &effects, TimePoint now)
 {
     pending.step = OperatorStep::Sent;
     pending.call.dryRun = pending.dryRun;
     pending.call.asksForBase = false;
-    sendStep(host, pending, effects);
+    sendStep(host, pending, effects, now);
 }
 
 /** Ends a request: tells the operator, if it still waits. */
@@ -120,9 +129,9 @@
     if (now >= pending.deadline)
         expireOperatorRequests(host, effects, now);
     else if (!pending.dryRun && needsBase(pending.call.body))
-        askForBase(host, pending, effects);
+        askForBase(host, pending, effects, now);
     else
-        sendRequest(host, pending, effects);
+        sendRequest(host, pending, effects, now);
 }
 
 void onOperatorAnswer(Host &host, const OperatorAnswer &answer, HostEffects &effects, TimePoint now)
@@ -140,7 +149,7 @@
     } else if (pending.step == OperatorStep::Sent && pending.call.base
                && answer.error == Errc::VersionConflict) {
         ++host.counters.changesOvertaken;
-        askForBase(host, pending, effects);
+        askForBase(host, pending, effects, now);
     } else if (pending.step != OperatorStep::CheckingOperator) {
         endRequest(host, it->first, answer, OperatorEnd::Answered, effects, now);
     }
@@ -153,7 +162,7 @@
     if (it == host.operatorRequests.end() || it->second.step != OperatorStep::CheckingOperator)
         return;
     if (presence.waits) {
-        sendRequest(host, it->second, effects);
+        sendRequest(host, it->second, effects, now);
         return;
     }
     ++host.counters.operatorRequestsAbandoned;
@@ -172,11 +181,11 @@
     }
 }
 
-void resendOperatorRequests(const Host &host, HostEffects &effects)
+void resendOperatorRequests(const Host &host, HostEffects &effects, TimePoint now)
 {
     for (const auto &[request, pending] : host.operatorRequests) {
         if (pending.step != OperatorStep::CheckingOperator)
-            effects.push_back(SendControl{pending.call});
+            sendCall(pending, effects, now);
     }
 }
 
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -267,9 +267,12 @@
     /** Version that the change is based on; it is refused if that is not the present one. Empty:
      * not checked. */
     std::optional<Version> base{};
+    /** Time, from the sending, after which the host has given the call up; a time of day would
+     * depend on two clocks. Empty: not known, as from hosts that do not send it. */
+    std::optional<std::int64_t> timeLeftMs{};
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OperatorCall, holder, id, dryRun, body, asksForBase,
-                                                base)
+                                                base, timeLeftMs)
 
 /** What the leader knows of the thing that a change is about; body of its OperatorAnswer. */
 struct ChangeBase
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -136,6 +136,12 @@
         this->writeNext();
     }
 
+    std::size_t bytesQueued()
+    {
+        absl::MutexLock lock(&this->mutex);
+        return this->queuedBytes;
+    }
+
     void cancel() { this->context.TryCancel(); }
 
 private:
@@ -191,6 +197,12 @@
         this->shared->stream->send(toWire(frame, unusedCache));
 }
 
+std::size_t PeerClient::queuedBytes() const
+{
+    absl::MutexLock lock(&this->shared->mutex);
+    return this->shared->stream == nullptr ? 0 : this->shared->stream->bytesQueued();
+}
+
 void PeerClient::openIfDue(TimePoint now)
 {
     {
--- a/src/net/peer_client_base.h
+++ b/src/net/peer_client_base.h
@@ -41,6 +41,9 @@
     /** Opens a stream if there is none and the back-off has passed; to be called periodically. */
     void openIfDue(TimePoint now);
 
+    /** @return Bytes that wait to be sent. */
+    std::size_t queuedBytes() const;
+
     /** @return "ip:port" of the receiver. */
     const std::string &address() const { return this->peerAddress; }
 
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/synchronization/mutex.h>
 #include <algorithm>
+#include <atomic>
 #include <deque>
 #include <grpcpp/grpcpp.h>
 #include <map>
@@ -49,6 +50,7 @@
             bool finish = false;
             {
                 absl::MutexLock lock(&this->mutex);
+                this->server.queuedBytes -= this->queue.front().ByteSizeLong();
                 this->queue.pop_front();
                 this->writing = false;
                 finish = this->closing;
@@ -63,6 +65,8 @@
 
         void OnDone() override
         {
+            for (const rpc::Frame &unsent : this->queue)
+                this->server.queuedBytes -= unsent.ByteSizeLong();
             this->server.removeStream(this);
             delete this;
         }
@@ -78,6 +82,7 @@
                     this->dropSupersededGrants();
                 queueFull = this->queue.size() >= MAX_QUEUED_FRAMES;
                 if (!queueFull) {
+                    this->server.queuedBytes += frame.ByteSizeLong();
                     this->queue.push_back(std::move(frame));
                     this->writeNext();
                 }
@@ -94,10 +99,14 @@
         void dropSupersededGrants()
         {
             const auto firstUnsent = this->queue.begin() + (this->writing ? 1 : 0);
-            this->queue.erase(
-                std::remove_if(firstUnsent, this->queue.end(),
-                               [](const rpc::Frame &waiting) { return waiting.has_grant(); }),
-                this->queue.end());
+            this->queue.erase(std::remove_if(firstUnsent, this->queue.end(),
+                                             [this](const rpc::Frame &waiting) {
+                                                 if (waiting.has_grant())
+                                                     this->server.queuedBytes
+                                                         -= waiting.ByteSizeLong();
+                                                 return waiting.has_grant();
+                                             }),
+                              this->queue.end());
         }
 
         void writeNext()
@@ -153,7 +162,7 @@
             absl::MutexLock lock(&this->mutex);
             this->streamsByHolder[holder] = &stream;
         }
-        return this->onFrame(std::move(frame).value());
+        return this->onFrame(std::move(frame).value(), wire.ByteSizeLong());
     }
 
     void removeStream(Stream *stream)
@@ -168,6 +177,7 @@
     /** Stream on which the latest message of each host run arrived. */
     std::map<HolderId, Stream *> streamsByHolder;
     EncodedTable tableCache;
+    std::atomic<std::size_t> queuedBytes{0}; ///< Of all streams.
     std::unique_ptr<grpc::Server> server;
     int port = 0;
 };
@@ -212,6 +222,11 @@
         it->second->send(std::move(frame));
 }
 
+std::size_t PeerServer::queuedBytes() const
+{
+    return this->impl->queuedBytes.load();
+}
+
 int PeerServer::port() const
 {
     return this->impl->port;
--- a/src/net/peer_server_base.h
+++ b/src/net/peer_server_base.h
@@ -14,9 +14,12 @@
 class PeerServer
 {
 public:
-    /** Handles a received frame. @return False if the event queue is full; the stream is then
-     * closed. */
-    using OnFrame = std::function<bool(PeerFrame &&)>;
+    /**
+     * Handles a received frame.
+     * @param bytes Size of the frame as received.
+     * @return False if the event queue is full; the stream is then closed.
+     */
+    using OnFrame = std::function<bool(PeerFrame &&, std::size_t bytes)>;
 
     /**
      * @param endpoint Address to listen on.
@@ -35,6 +38,9 @@
      */
     void sendToHost(const HolderId &holder, const ControlMessage &message);
 
+    /** @return Bytes that wait to be sent, on all streams. */
+    std::size_t queuedBytes() const;
+
     /** @return TCP port that the server listens on. */
     int port() const;
 
