--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -25,7 +26,8 @@
     std::uint32_t payloadChecksum = 0; ///< CRC-32C of the payload.
     std::uint64_t batch = 0; ///< Number of the batch; increases with each write.
     std::uint32_t headerChecksum = 0; ///< CRC-32C of the fields above.
-    std::uint32_t reserved = 0; ///< Padding; always 0.
+    /** BatchMark of the record; 0 in files of earlier versions. */
+    std::uint32_t mark = 0;
 };
 static_assert(sizeof(RecordHeader) == 24);
 constexpr std::size_t CHECKSUMMED_HEADER_BYTES = 16; ///< Bytes covered by headerChecksum.
@@ -52,14 +54,62 @@
     out.append(payload);
 }
 
-std::string encodeBatch(const JournalBatch &batch, std::uint64_t number)
+void appendBatch(std::string &out, const JournalBatch &batch, std::uint64_t number)
 {
-    std::string out;
     if (batch.hardState)
         appendRecord(out, *batch.hardState, number);
     for (const LogEntry &entry : batch.append)
         appendRecord(out, entry, number);
-    return out;
+}
+
+constexpr std::uint64_t UNKNOWN_BATCH = std::numeric_limits<std::uint64_t>::max();
+
+/** Where a record stands in the sequence of synced batches. */
+struct BatchMark
+{
+    /** Number of the batch before this one; 0: it is the first one of its file. */
+    std::uint64_t before = UNKNOWN_BATCH;
+    bool endsBatch = false; ///< The record is the last one of its batch.
+};
+
+constexpr std::uint32_t MARK_SIGN = 0xB47C0000; ///< Upper half of a mark.
+constexpr std::uint32_t MARK_SIGN_BITS = 0xFFFF0000;
+constexpr std::uint32_t MARK_END_BIT = 0x8000;
+/** Difference of the two numbers; 0: the first batch; all bits: not known. */
+constexpr std::uint32_t MARK_DISTANCE_BITS = 0x7FFF;
+
+std::uint32_t encodeMark(std::uint64_t batch, const BatchMark &mark)
+{
+    const bool isKnown
+        = mark.before == 0 || (mark.before < batch && batch - mark.before < MARK_DISTANCE_BITS);
+    std::uint64_t distance = MARK_DISTANCE_BITS;
+    if (isKnown)
+        distance = mark.before == 0 ? 0 : batch - mark.before;
+    return MARK_SIGN | (mark.endsBatch ? MARK_END_BIT : 0) | static_cast<std::uint32_t>(distance);
+}
+
+std::optional<BatchMark> decodeMark(const RecordHeader &header)
+{
+    if ((header.mark & MARK_SIGN_BITS) != MARK_SIGN)
+        return std::nullopt;
+    BatchMark mark{UNKNOWN_BATCH, (header.mark & MARK_END_BIT) != 0};
+    const std::uint32_t distance = header.mark & MARK_DISTANCE_BITS;
+    if (distance != MARK_DISTANCE_BITS)
+        mark.before = distance == 0 ? 0 : header.batch - distance;
+    return mark;
+}
+
+/** Marks the records in @p bytes, which are written together, behind the batch @p before. */
+void markRecords(std::string &bytes, std::uint64_t before)
+{
+    for (std::size_t at = 0; at < bytes.size();) {
+        RecordHeader header;
+        std::memcpy(&header, bytes.data() + at, sizeof header);
+        const std::size_t next = at + sizeof header + header.length;
+        header.mark = encodeMark(header.batch, {before, next == bytes.size()});
+        std::memcpy(bytes.data() + at, &header, sizeof header);
+        at = next;
+    }
 }
 
 /**
@@ -81,19 +131,35 @@
     return checksumOf(payload) == header.payloadChecksum;
 }
 
-/**
- * Distinguishes damage to synced data from a torn write at the end of the file.
- * @return Whether a valid record of a batch later than @p batch follows after @p offset.
- */
-bool hasLaterBatch(const std::string &bytes, std::size_t offset, std::uint64_t batch)
+/** @return Header of the last whole record after @p offset; a batch of 0 if there is none. */
+RecordHeader findLastRecord(const std::string &bytes, std::size_t offset)
 {
+    RecordHeader last;
     for (std::size_t at = offset + 1; at + sizeof(RecordHeader) <= bytes.size(); ++at) {
         RecordHeader header;
         std::string_view payload;
-        if (readRecord(bytes, at, header, payload) && header.batch > batch)
-            return true;
+        if (readRecord(bytes, at, header, payload) && header.batch >= last.batch)
+            last = header;
     }
-    return false;
+    return last;
+}
+
+/**
+ * Distinguishes damage to synced data from a write that a loss of power has torn: any part of such
+ * a write may be missing, its first record too, but then it is the last write, and all before it
+ * are whole.
+ * @param whole Header of the last record before the damage; a batch of 0 if there is none.
+ * @return Whether synced data is damaged at @p offset.
+ */
+bool isSyncedDataDamaged(const std::string &bytes, std::size_t offset, const RecordHeader &whole)
+{
+    const RecordHeader last = findLastRecord(bytes, offset);
+    if (last.batch <= whole.batch)
+        return false;
+    const std::optional<BatchMark> lastMark = decodeMark(last);
+    const std::optional<BatchMark> wholeMark = decodeMark(whole);
+    const bool earlierAreWhole = whole.batch == 0 || (wholeMark && wholeMark->endsBatch);
+    return !lastMark || !earlierAreWhole || lastMark->before != whole.batch;
 }
 
 /**
@@ -232,16 +298,16 @@
     content.state.latestSnapshot = latestSnapshot;
     BOOST_OUTCOME_TRY(bytes, readFile(filePath(folder, "journal")));
     std::size_t offset = 0;
-    std::uint64_t batch = 0;
+    RecordHeader whole;
     RecordHeader header;
     std::string_view payload;
     while (offset < bytes.size() && readRecord(bytes, offset, header, payload)) {
         BOOST_OUTCOME_TRY(record, decode<JournalRecord>(payload));
         applyRecord(content.state, record);
-        batch = header.batch;
+        whole = header;
         offset += sizeof header + payload.size();
     }
-    if (offset < bytes.size() && hasLaterBatch(bytes, offset, batch))
+    if (offset < bytes.size() && isSyncedDataDamaged(bytes, offset, whole))
         return Errc::JournalCorrupt;
     content.tornBytes = bytes.size() - offset;
     const int file = ::open(filePath(folder, "journal").c_str(), O_WRONLY | O_CLOEXEC);
@@ -249,7 +315,8 @@
         return Errc::FileUnreadable;
     // Skips one batch number, so that no later batch has the number of the batch whose torn tail
     // is cut off.
-    std::unique_ptr<Journal> journal(new Journal(folder, file, batch + 1, offset));
+    std::unique_ptr<Journal> journal(new Journal(folder, file, whole.batch + 1, offset));
+    journal->syncedBatch = whole.batch;
     journal->truncate = truncate;
     journal->hasTail = content.tornBytes > 0;
     // On a full disk the tail stays until there is room for the next batch.
@@ -266,8 +333,9 @@
     return !this->hasTail;
 }
 
-Result<void> Journal::append(const std::string &bytes)
+Result<void> Journal::append(std::string bytes)
 {
+    markRecords(bytes, this->syncedBatch);
     const auto end = static_cast<off_t>(this->size);
     if (!this->cutTail())
         return Errc::FileUnwritable;
@@ -278,6 +346,7 @@
         return Errc::FileUnwritable;
     }
     this->size += bytes.size();
+    this->syncedBatch = this->batch;
     return boost::outcome_v2::success();
 }
 
@@ -287,7 +356,10 @@
     // applyRecord() then skips the entries that the snapshot contains.
     BOOST_OUTCOME_TRYV(
         replaceFile(this->folder, "snapshot", encodeWithChecksum(encode(*batch.snapshot))));
-    const std::string bytes = encodeBatch(batch, this->batch);
+    std::string bytes;
+    appendBatch(bytes, batch, this->batch);
+    markRecords(bytes,
+                UNKNOWN_BATCH); // A replaced file is never torn: its damage is no torn write.
     BOOST_OUTCOME_TRYV(replaceFile(this->folder, "journal", bytes));
     const int next = ::open(filePath(this->folder, "journal").c_str(), O_WRONLY | O_CLOEXEC);
     if (next < 0)
@@ -295,6 +367,7 @@
     ::close(this->file);
     this->file = next;
     this->size = bytes.size();
+    this->syncedBatch = bytes.empty() ? 0 : this->batch;
     this->hasTail = false;
     return boost::outcome_v2::success();
 }
@@ -305,7 +378,7 @@
     std::string bytes;
     for (const JournalBatch &item : batches) {
         if (!item.snapshot) {
-            bytes += encodeBatch(item, this->batch);
+            appendBatch(bytes, item, this->batch);
             continue;
         }
         // The entries of the earlier batches are in the snapshot or are repeated in the
@@ -313,7 +386,8 @@
         bytes.clear();
         BOOST_OUTCOME_TRYV(this->resetToSnapshot(item));
     }
-    return bytes.empty() ? Result<void>(boost::outcome_v2::success()) : this->append(bytes);
+    return bytes.empty() ? Result<void>(boost::outcome_v2::success())
+                         : this->append(std::move(bytes));
 }
 
 } // namespace bilberry
--- a/src/journal/journal_base.h
+++ b/src/journal/journal_base.h
@@ -79,7 +79,7 @@
     Journal(std::string folder, int file, std::uint64_t batch, std::uint64_t size);
 
     /** Appends @p bytes to the journal file and syncs it. @return Errc::FileUnwritable. */
-    Result<void> append(const std::string &bytes);
+    Result<void> append(std::string bytes);
     /**
      * Replaces the snapshot by the one of @p batch and the journal file by the batch's records.
      * @return Errc::FileUnwritable.
@@ -94,6 +94,8 @@
     bool hasTail = false; ///< Whether unsynced bytes may follow the synced part of the file.
     int file; ///< File descriptor of the journal file.
     std::uint64_t batch; ///< Number of the last batch written.
+    std::uint64_t syncedBatch
+        = 0; ///< Number of the last batch in the synced part of the file; 0: none.
     std::uint64_t size; ///< Length of the synced part of the journal file in bytes.
 };
 
--- a/src/tests/journal_test.cpp
+++ b/src/tests/journal_test.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <random>
 #include <unistd.h>
 
@@ -166,3 +167,120 @@
     cr_expect_eq(content.state.log.size(), 2);
     std::filesystem::remove_all(folder);
 }
+
+/** Folder with a journal of @p batches batches of three entries, each of @p entryBytes. */
+struct WrittenJournal
+{
+    WrittenJournal(int batches, std::size_t entryBytes, bool compacted)
+        : folder(std::filesystem::temp_directory_path()
+                 / ("journal-torn-" + std::to_string(getpid())))
+    {
+        std::filesystem::remove_all(this->folder);
+        cr_assert(Journal::create(this->folder, MemberId("m1"), {}));
+        Journal::Content content;
+        auto journal = std::move(Journal::open(this->folder, content)).value();
+        LogIndex last = 0;
+        for (int i = 0; i < batches; ++i) {
+            this->ends.push_back(std::filesystem::file_size(this->folder / "journal"));
+            JournalBatch batch;
+            if (compacted && i == 1)
+                batch.snapshot = Snapshot{last, 1, {}, ""};
+            for (int entry = 0; entry < 3; ++entry)
+                batch.append.push_back(
+                    {++last, 1, EntryKind::Command, std::string(entryBytes, 'x')});
+            cr_assert(journal->write({batch}));
+            if (batch.snapshot)
+                this->ends.back() = 0;
+            this->indexes.push_back(last);
+        }
+        this->ends.push_back(std::filesystem::file_size(this->folder / "journal"));
+    }
+    ~WrittenJournal() { std::filesystem::remove_all(this->folder); }
+
+    /** Loses bytes of the file, as pages that never reached the disk. */
+    void lose(std::size_t begin, std::size_t size) const
+    {
+        std::fstream file(this->folder / "journal",
+                          std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(static_cast<std::streamoff>(begin));
+        file << std::string(size, '\0');
+    }
+
+    /** @return Index of the last entry that a start finds; nothing if it does not start. */
+    std::optional<LogIndex> start() const
+    {
+        Journal::Content content;
+        if (!Journal::open(this->folder, content))
+            return std::nullopt;
+        const auto &log = content.state.log;
+        return log.empty() ? content.state.latestSnapshot.index : log.back().index;
+    }
+
+    const std::filesystem::path folder;
+    std::vector<std::size_t> ends; ///< Length of the file before each batch, and at the end.
+    std::vector<LogIndex> indexes; ///< Last index after each batch.
+};
+
+// Guards against a control member that never starts again after a loss of power: of the write that
+// was not synced, an earlier page was lost and a later one was kept.
+Test(journal, member_starts_after_any_part_of_its_last_write_was_lost, .timeout = 60)
+{
+    for (const bool compacted : {false, true}) {
+        for (const int batches : {1, 2, 4}) {
+            const std::size_t size = 700;
+            for (std::size_t lost = 0;; lost += 50) {
+                const WrittenJournal written(batches, size, compacted && batches > 2);
+                const std::size_t begin = written.ends[static_cast<std::size_t>(batches) - 1];
+                if (begin + lost + 200 > written.ends.back())
+                    break;
+                written.lose(begin + lost, 200);
+                const std::optional<LogIndex> last = written.start();
+                cr_assert(last, "%d batches, bytes from %zu on lost: does not start", batches,
+                          lost);
+                cr_expect_geq(*last,
+                              batches > 1 ? written.indexes[static_cast<std::size_t>(batches) - 2]
+                                          : 0);
+                cr_expect_eq(*written.start(), *last, "a second start finds something else");
+            }
+        }
+    }
+}
+
+// Guards against a member that takes damage to synced data for such a write, and forgets what it
+// has acknowledged.
+Test(journal, damage_to_synced_data_is_no_torn_write, .timeout = 60)
+{
+    for (const bool compacted : {false, true}) {
+        for (int damaged = 0; damaged < 3; ++damaged) {
+            const WrittenJournal written(4, 700, compacted);
+            const auto batch = static_cast<std::size_t>(damaged);
+            if (compacted && damaged == 0)
+                continue; // Its records are in the snapshot.
+            for (const std::size_t lost : {std::size_t(0), std::size_t(900), std::size_t(1'500)}) {
+                const WrittenJournal again(4, 700, compacted);
+                again.lose(again.ends[batch] + lost, 200);
+                cr_expect_not(again.start().has_value(), "batch %d, bytes from %zu on", damaged,
+                              lost);
+            }
+        }
+    }
+}
+
+// Guards against the same after a start that cut a torn write off, since the next write has a
+// number that does not follow directly.
+Test(journal, write_after_a_torn_one_may_be_torn_too)
+{
+    const WrittenJournal written(2, 700, false);
+    written.lose(written.ends[1], 200);
+    Journal::Content content;
+    {
+        auto journal = std::move(Journal::open(written.folder, content)).value();
+        const std::size_t begin = std::filesystem::file_size(written.folder / "journal");
+        JournalBatch batch;
+        for (LogIndex index = 4; index < 7; ++index)
+            batch.append.push_back({index, 1, EntryKind::Command, std::string(700, 'y')});
+        cr_assert(journal->write({batch}));
+        written.lose(begin, 200);
+    }
+    cr_expect_eq(written.start().value_or(0), 3);
+}
