--- a/src/host/host_type.h
+++ b/src/host/host_type.h
@@ -118,8 +118,7 @@
     std::optional<StoredAnswer> answer; ///< Response to store; only for recorded calls.
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AttemptEnded, attempt, result, bound, status,
-                                                tokens, relayed, connectionLost, calledBack,
-                                                answer)
+                                                tokens, relayed, connectionLost, calledBack, answer)
 
 /** The first event of a streamed response was relayed; the attempt goes on. */
 struct ResponseBegan
