--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	@BUILD=$(BUILD) examples/demo.sh
 
 test: build
+	@python3 src/tests/system/deploy_build.py
 	@python3 src/tests/unit.py $(BUILD)/unit_tests
 	@python3 src/tests/system/run.py --build $(BUILD) --suite ci
 
