--- a/src/daemon/control_runner.cpp
+++ b/src/daemon/control_runner.cpp
@@ -18,8 +18,8 @@
 constexpr Duration TICK_INTERVAL = 10ms; ///< Interval of ControlTickEvent.
 constexpr Duration MEMORY_LOG_INTERVAL = 500ms; ///< Of "controlMemory"; one line at most.
 constexpr std::size_t BYTES_PER_MB = 1 << 20;
-/** Part of the memory for calls of operators that wait, as received. Decoded, one takes about ten
- * times its bytes for a moment. */
+/** Part of the memory for calls of operators that wait, as received. While one is decoded, its tree
+ * takes nine times its bytes beside it. */
 constexpr std::size_t CALL_ROOM_DIVISOR = 16;
 constexpr Duration JOURNAL_RETRY_DELAY = 500ms; ///< Delay before a failed write is repeated.
 
